--- a/packages/comfreyarch-core/src/comfreyarch_core/burn.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/burn.py
@@ -7,7 +7,9 @@
 MINUTE_S = 60
 HOUR_S = 3600
 WINDOWS_S = (5 * MINUTE_S, HOUR_S, 6 * HOUR_S)
-PERIOD_S = 30 * 24 * HOUR_S
+DAY_S = 24 * HOUR_S
+PERIOD_DAYS = 30
+PERIOD_S = PERIOD_DAYS * DAY_S
 KEPT_BUCKETS = WINDOWS_S[-1] // BUCKET_S
 
 
@@ -57,7 +59,8 @@
     def drop(self, number: int) -> None:
         """Drop the buckets that no window reaches."""
         oldest = number - KEPT_BUCKETS
-        for old in [one for one in self.buckets if one < oldest]:
+        stale = [one for one in self.buckets if one < oldest]
+        for old in stale:
             self.buckets.pop(old)
 
     def plain(self) -> dict[str, list[int]]:
--- a/packages/comfreyarch-core/src/comfreyarch_core/checking.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/checking.py
@@ -65,7 +65,7 @@
     """
     reader = SetReader(files or {})
     config = reader.read(raw)
-    faults = [*reader.faults]
+    faults = list(reader.faults)
     if not faults:
         faults.extend(reader.place(fault) for fault in references(config))
     return Checked(config, tuple(faults))
@@ -150,17 +150,17 @@
             known = ', '.join(fields)
             self.add(name, str(member), 'unknown field', f'use {known}')
         given: dict[str, Any] = {}
-        for member, info in fields.items():
+        for member, described in fields.items():
             if member in raw:
-                given[member] = self.read_field(name, info, raw[member])
-            elif info.required:
+                given[member] = self.read_field(name, described, raw[member])
+            elif described.required:
                 self.add(name, member, 'missing', f'set {member}')
         return shape(**given) if len(self.faults) == before else None
 
     def read_field(
         self,
         name: str,
-        info: msgspec.structs.FieldInfo,
+        described: msgspec.structs.FieldInfo,
         raw: object,
     ) -> object:
         """Read one field.
@@ -168,9 +168,9 @@
         :returns: the typed value, or None after a fault.
         """
         try:
-            return msgspec.convert(raw, info.type)
+            return msgspec.convert(raw, described.type)
         except msgspec.ValidationError as error:
-            self.add(name, info.name, str(error), 'correct the type')
+            self.add(name, described.name, str(error), 'correct the type')
         return None
 
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/limits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limits.py
@@ -18,6 +18,7 @@
 SMOOTHING = 0.3
 BURST_S = 1.0
 HEADROOM = 1.5
+SHORTEST_S = 0.001
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,9 +94,8 @@
 
     def expire(self, now: float) -> None:
         """Forget children whose loans ran out."""
-        for child in [
-            name for name, one in self.lent.items() if one.until <= now
-        ]:
+        over = [name for name, one in self.lent.items() if one.until <= now]
+        for child in over:
             self.lent.pop(child)
             self.wants.pop(child, None)
 
@@ -186,7 +186,7 @@
 
         :returns: the demand with some headroom.
         """
-        passed = max(now - self.asked_at, 1e-3)
+        passed = max(now - self.asked_at, SHORTEST_S)
         fresh = self.arrivals / passed
         self.seen_rate += SMOOTHING * (fresh - self.seen_rate)
         self.arrivals = 0
--- a/packages/comfreyarch-core/src/comfreyarch_core/retrying.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/retrying.py
@@ -15,14 +15,14 @@
 MIN_TIME_LEFT_S = 0.02
 
 ELSEWHERE = frozenset(
-    {
+    (
         Kind.leaving,
         Kind.overloaded,
         Kind.deadline,
         Kind.no_upstream,
         Kind.upstream_failed,
         Kind.not_ready,
-    }
+    )
 )
 
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -21,6 +21,7 @@
 DEFAULT_SERVICE_S = 0.05
 SUBSET_SIZE = 16
 CHOICES = 2
+NOBODY: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +175,7 @@
         group: str,
         prefix: int,
         now: float,
-        avoid: frozenset[str] = frozenset(),
+        avoid: frozenset[str] = NOBODY,
     ) -> View | None:
         """Choose a sidecar for an attempt.
 
@@ -216,7 +217,7 @@
         group: str,
         key: str,
         now: float,
-        avoid: frozenset[str] = frozenset(),
+        avoid: frozenset[str] = NOBODY,
     ) -> View | None:
         """Choose by key, so that re-sends meet at one sidecar.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -35,6 +35,7 @@
     503: 'Service Unavailable',
     504: 'Gateway Timeout',
 }
+OK_STATUS = 200
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
@@ -139,7 +140,7 @@
             self.limiter.release(request.team)
             raise
         headers = dict(first.headers) if isinstance(first, Begin) else {}
-        status = first.status if isinstance(first, Begin) else 200
+        status = first.status if isinstance(first, Begin) else OK_STATUS
         if request.request:
             headers['X-Request-Id'] = request.request
         if request.stream:
@@ -188,7 +189,8 @@
             pieces.close()
             self.limiter.release(request.team)
         if cut is not None:
-            yield b'event: error\ndata: ' + explain(cut, '') + b'\n\n'
+            told = explain(cut, '').decode()
+            yield f'event: error\ndata: {told}\n\n'.encode()
             raise Aborted(cut.kind.value)
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -76,12 +76,12 @@
 
     def drain(self) -> None:
         """Refuse new requests and wait for the open ones, up to a bound."""
-        self.set_leaving(leaving=True)
+        self.turn_leaving(leaving=True)
         limit = time.monotonic() + self.settings.drain_s
         while self.callers.open_requests and time.monotonic() < limit:
             gevent.sleep(DRAIN_CHECK_S)
 
-    def set_leaving(self, *, leaving: bool) -> None:
+    def turn_leaving(self, *, leaving: bool) -> None:
         """Begin or end a planned stop."""
         if leaving == self.leaving:
             return
@@ -115,7 +115,7 @@
         self.outcomes.advanced(config)
         self.callers.reader = RequestReader(config)
         stops = {stop.entry for stop in config.stops.values()}
-        self.set_leaving(leaving=self.settings.node in stops)
+        self.turn_leaving(leaving=self.settings.node in stops)
         self.choose_peers()
 
     def listed(self, instances: list[Instance]) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/logs.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/logs.py
@@ -47,9 +47,9 @@
     :param level: ``error``, ``warning``, ``info`` or ``debug``.
     """
     logging.use_absl_handler()
-    handler = logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
-    handler.setFormatter(JsonFormatter(node))
+    sink = logging.get_absl_handler()
+    sink.python_handler.stream = sys.stderr
+    sink.setFormatter(JsonFormatter(node))
     logging.set_verbosity(LEVELS.get(level, logging.INFO))
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
@@ -108,7 +108,7 @@
         self.list_fresh = False
         self.backoff: dict[str, float] = {}
         self.dialling: set[str] = set()
-        self.pulled_at = 0.0
+        self.pulled_at = float(0)
         self.store_up = True
         self.role: Role | None = None
         self.listener = Listener(
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
@@ -10,7 +10,7 @@
 from comfreyarch_daemon.requests import CallerRequest
 
 DEFAULT_WITHIN_S = 0.95
-CALLER_FAULTS = frozenset({400, 401, 404, 413, 422})
+CALLER_FAULTS = frozenset((400, 401, 404, 413, 422))
 
 
 class Outcomes:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
@@ -24,8 +24,8 @@
 DEFAULT_MAX_TOKENS = 64
 KEY_PATTERN = re.compile(r'[\x21-\x7e]{1,128}')
 BEARER = 'Bearer '
-FORWARDED = frozenset({'content-type', 'accept', 'accept-language'})
-UNREPEATABLE_HINT = 'X-Request-Id'
+FORWARDED = frozenset(('content-type', 'accept', 'accept-language'))
+MAX_IDENTITY = 128
 
 
 class BadRequest(Exception):
@@ -254,7 +254,7 @@
 
     :returns: the header's text, or an empty one.
     """
-    return str(environ.get('HTTP_X_REQUEST_ID', ''))[:128]
+    return str(environ.get('HTTP_X_REQUEST_ID', ''))[:MAX_IDENTITY]
 
 
 def deadline(environ: dict[str, Any]) -> float:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreaming.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreaming.py
@@ -16,14 +16,14 @@
 POOL_SIZE = 64
 EVENT_END = b'\n\n'
 DROPPED_HEADERS = frozenset(
-    {
+    (
         'connection',
         'transfer-encoding',
         'content-length',
         'keep-alive',
         'date',
         'server',
-    }
+    )
 )
 
 
@@ -47,14 +47,12 @@
     this pool, whose second connection is refused.
     """
 
-    used = False
-
     def get_socket(self) -> socket.socket:
         """Open the only connection.
 
         :raises SecondSend: at any further use.
         """
-        if self.used:
+        if getattr(self, 'used', False):
             raise SecondSend('call not sent again; its outcome is unknown')
         self.used = True
         return super().get_socket()
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -8,8 +8,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-import gevent
-import gevent.pool
+from gevent.pool import Pool
 
 from standins import calling
 from standins.launcher import Fleet, fetch
@@ -73,7 +72,7 @@
         wanted = calling.expected(prompt, count, stream=stream)
         score.take('streamed' if stream else 'whole', reply, wanted)
 
-    pool = gevent.pool.Pool(AT_ONCE)
+    pool = Pool(AT_ONCE)
     for number in numbers:
         pool.spawn(ask, number, source.randint(2, 24))
     pool.join()
@@ -90,7 +89,7 @@
         reply = calling.reserve(port, TEAMS[0], key, body)
         score.take_receipt(key, reply)
 
-    pool = gevent.pool.Pool(AT_ONCE)
+    pool = Pool(AT_ONCE)
     for number in range(RESERVATIONS):
         pool.spawn(ask, number, 0)
         pool.spawn(ask, number, 1)
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -131,6 +131,8 @@
             same = self.prepared.change == change
             return (200 if same else 409), self.state()
         at_risk = self.step + int(self.begun) > order['step']
+        if change in self.outcomes:
+            return 409, self.state()
         if self.lost or order['epoch'] != self.epoch or at_risk:
             return 409, self.state()
         self.prepared = Prepared(change, order['step'], order['placement'])
@@ -347,8 +349,7 @@
 
     def stream(self, prompt: str, first: int, count: int) -> Iterator[bytes]:
         """Yield the events of a streamed answer."""
-        for event in self.steps(prompt, first, count):
-            yield event
+        yield from self.steps(prompt, first, count)
         if first <= count:
             yield b'data: [DONE]\n\n'
 
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -8,6 +8,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -37,7 +38,7 @@
 
 
 def wait_until(
-    condition: Callable[[], bool],
+    condition: Callable[[], object],
     what: str,
     timeout_s: float = WAIT_S,
 ) -> None:
@@ -222,7 +223,7 @@
             json.dumps(asked),
         )
         for port in self.engines:
-            wait_until(lambda: bool(fetch(port, '/health')), 'engines')
+            wait_until(partial(fetch, port, '/health'), 'engines')
         return process
 
     def start_ledger(self, name: str) -> Process:
@@ -301,17 +302,21 @@
     def wait_ready(self) -> None:
         """Wait until all nodes are ready and entries see the sidecars."""
         for node in self.nodes.values():
-            wait_until(lambda: self.ready(node), node.name)
+            wait_until(partial(self.ready, node), node.name)
         sidecars = {
             node.name for node in self.nodes.values() if node.role == 'sidecar'
         }
         for node in self.nodes.values():
             if node.role == 'entry':
                 wait_until(
-                    lambda: sidecars <= set(self.links(node)),
+                    partial(self.linked, node, sidecars),
                     f'links of {node.name}',
                 )
 
+    def linked(self, node: NodeAt, wanted: set[str]) -> bool:
+        """Tell whether a node has links to all wanted."""
+        return wanted <= set(self.links(node))
+
     def links(self, node: NodeAt) -> list[str]:
         """List the nodes that a node has links to."""
         found: list[str] = fetch(node.operators, '/status').get('links', [])
