Wire rank groups: election, map changes and balance on real sidecars

The balance policy stands in the core: loads and slowness from late or missing reports, requests spread by predicted step time, experts moved only where that pays.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure comfreyarch: one JSON object a line."""
--- /dev/null
+++ b/bench/lines.py
@@ -0,0 +1,28 @@
+"""Print figures, one JSON object a line."""
+
+import json
+import sys
+
+
+def emit(
+    bench: str,
+    case: str,
+    figure: str,
+    unit: str,
+    value: float,
+    baseline: float | None = None,
+) -> None:
+    """Print one figure.
+
+    :param baseline: the same figure of what it is compared with.
+    """
+    line = {
+        'bench': bench,
+        'case': case,
+        'figure': figure,
+        'unit': unit,
+        'value': round(value, 4),
+        'baseline': None if baseline is None else round(baseline, 4),
+    }
+    sys.stdout.write(f'{json.dumps(line)}\n')
+    sys.stdout.flush()
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
@@ -149,7 +149,7 @@
     current = read_store(store)
     wanted = keep_system_kinds(load_set(paths), current.raw)
     puts, deletes = difference(current.raw, wanted)
-    lines = []
+    lines: list[str] = []
     for kind, table in puts.items():
         known = current.raw.get(kind, {})
         lines.extend(
--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
@@ -0,0 +1,190 @@
+"""Decide for one group's balance: request shares and expert moves.
+
+Requests are the free lever and are spread anew at each decision. Experts
+move only when the plan still pays at a second look, so that a short rush
+moves nothing; a change under way is abandoned when it no longer pays.
+"""
+
+from dataclasses import dataclass
+
+from comfreyarch_core.costs import (
+    CostModel,
+    Picture,
+    Placement,
+    expert_times,
+    rank_times,
+    spread_requests,
+)
+from comfreyarch_core.loads import LoadEstimator, Report
+from comfreyarch_core.moves import Limits, Plan, Price, plan_moves
+
+CONFIRMATIONS = 2
+MIN_GAIN_SHARE = 0.01
+ABANDON_SHARE = 0.5
+COOL_DOWN_DECISIONS = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MapInForce:
+    """Tell the map in force."""
+
+    placement: Placement
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeEnded:
+    """Tell that the proposed change was committed or aborted."""
+
+    committed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Decide:
+    """Decide now on what is known."""
+
+
+@dataclass(frozen=True, slots=True)
+class Shares:
+    """Give each rank its share of requests; 1 is an even one."""
+
+    shares: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeMap:
+    """Propose a map, with the plan that tells why."""
+
+    plan: Plan
+
+
+@dataclass(frozen=True, slots=True)
+class AbandonMap:
+    """Abandon the proposed change: it no longer pays."""
+
+
+Message = Report | MapInForce | ChangeEnded | Decide
+Outcome = Shares | ProposeMap | AbandonMap
+
+
+@dataclass(slots=True)
+class Balancer:
+    """Decide for one group.
+
+    :param confirmations: looks at which a plan must pay.
+    """
+
+    estimator: LoadEstimator
+    placement: Placement
+    limits: Limits
+    price: Price
+    costs: CostModel
+    confirmations: int = CONFIRMATIONS
+    agreed: int = 0
+    cooling: int = 0
+    proposed: Plan | None = None
+    last: Plan | None = None
+    shares: tuple[float, ...] = ()
+
+    def handle(self, message: Message, now: float) -> list[Outcome]:
+        """Take a message and decide.
+
+        :param message: a report, news of the map, or the order to decide.
+        :param now: seconds.
+        :returns: shares, and a map to propose or abandon.
+        """
+        match message:
+            case Report():
+                self.estimator.take(message, now)
+                return []
+            case MapInForce(placement):
+                if placement != self.placement:
+                    self.placement = placement
+                    self.estimator.moved(placement)
+                return []
+            case ChangeEnded():
+                self.proposed = None
+                self.agreed = 0
+                self.cooling = COOL_DOWN_DECISIONS
+                return []
+        return self.decide(now)
+
+    def decide(self, now: float) -> list[Outcome]:
+        """Spread requests, then weigh a change of the map."""
+        outcomes = self.spread()
+        if not self.estimator.complete(now):
+            self.agreed = 0
+            return outcomes
+        if self.proposed is not None:
+            return [*outcomes, *self.weigh_proposed(self.proposed)]
+        if self.cooling:
+            self.cooling -= 1
+            return outcomes
+        return [*outcomes, *self.weigh()]
+
+    def spread(self) -> list[Outcome]:
+        """Give shares that even the predicted rank times."""
+        picture = self.estimator.picture(self.placement)
+        costs = self.costs
+        fixed = [
+            costs.base_ms + own
+            for own in expert_times(self.placement, picture, costs)
+        ]
+        requests = max(picture.requests, len(fixed))
+        spread = spread_requests(
+            fixed,
+            picture.slowness,
+            requests,
+            costs.request_ms,
+        )
+        even = requests / len(fixed)
+        self.shares = tuple(round(own / even, 3) for own in spread)
+        return [Shares(self.shares)]
+
+    def plan(self) -> Plan | None:
+        """Plan on the present picture."""
+        picture = self.estimator.picture(self.placement)
+        return plan_moves(
+            self.placement,
+            picture,
+            self.costs,
+            self.limits,
+            self.price,
+        )
+
+    def weigh(self) -> list[Outcome]:
+        """Propose a plan that pays at enough looks on end."""
+        plan = self.plan()
+        self.last = plan
+        if plan is None or not self.pays(plan):
+            self.agreed = 0
+            return []
+        self.agreed += 1
+        if self.agreed < self.confirmations:
+            return []
+        self.proposed = plan
+        return [ProposeMap(plan)]
+
+    def pays(self, plan: Plan) -> bool:
+        """Tell whether a plan is worth its price and not mere noise.
+
+        :returns: True for a gain above price and above a hundredth.
+        """
+        enough = plan.gain_ms > MIN_GAIN_SHARE * plan.before_ms
+        return enough and plan.worth_ms > plan.price_ms
+
+    def weigh_proposed(self, proposed: Plan) -> list[Outcome]:
+        """Abandon a change under way once it no longer pays."""
+        picture = self.estimator.picture(self.placement)
+        before = max(self.times(self.placement, picture))
+        after = max(self.times(proposed.placement, picture))
+        worth = (before - after) * self.price.skew_price
+        if (
+            worth * self.price.horizon_steps
+            >= ABANDON_SHARE * proposed.price_ms
+        ):
+            return []
+        return [AbandonMap()]
+
+    def times(self, placement: Placement, picture: Picture) -> list[float]:
+        """Predict rank times of a map."""
+        return rank_times(placement, picture, self.costs)
--- a/packages/comfreyarch-core/src/comfreyarch_core/checking.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/checking.py
@@ -218,6 +218,9 @@
     """Yield the faults of one expert map."""
     placed = {one for rank in expert_map.placement for one in rank}
     wanted = set(range(expert_map.experts))
+    if expert_map.experts % max(1, expert_map.layers):
+        remedy = 'give every layer the same number'
+        yield Fault('', place, 'layers', 'does not divide experts', remedy)
     if placed != wanted:
         odd = sorted(placed ^ wanted)[:SHA256_HEX_LENGTH]
         yield Fault(
--- a/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
@@ -56,6 +56,11 @@
     placement: Placement
 
 
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Abort the change under way, if its outcome is still open."""
+
+
 @dataclass(frozen=True, slots=True)
 class StepSeen:
     """Tell a step that some rank has reported."""
@@ -100,7 +105,7 @@
     fence: int
 
 
-Message = Reply | Propose | StepSeen | Tick
+Message = Reply | Propose | Abandon | StepSeen | Tick
 Outcome = ToRank | Changed | Stable | Deposed
 
 
@@ -160,6 +165,10 @@
                 return []
             case Propose():
                 return self.propose(message, now)
+            case Abandon():
+                if self.phase is Phase.preparing:
+                    return self.end_and_settle(ABORT, now)
+                return []
             case Refused(fence):
                 return self.refused(fence)
             case Promised():
--- a/packages/comfreyarch-core/src/comfreyarch_core/frames.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/frames.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from comfreyarch_core.mapmessages import AnyMapMessage
+
 PROTOCOL_VERSION = 1
 TAG_FIELD = 't'
 
@@ -128,7 +130,8 @@
 
     ``ready`` is False while a sidecar's upstream is down.
     ``wait_ms`` is the predicted wait of a new request, ``service_ms`` the
-    time one takes, ``step_ms`` the rank's last step time.
+    time one takes, ``step_ms`` the rank's last step time, ``share`` the
+    part of an even share of requests that the rank should get.
     """
 
     node: str
@@ -142,8 +145,7 @@
     wait_ms: float = 0
     service_ms: float = 0
     step_ms: float = 0
-    leader: str = ''
-    fence: int = 0
+    share: float = 1
 
 
 class Pull(Frame, frozen=True):
@@ -192,33 +194,32 @@
     crashes: int
 
 
-class MapOrder(Frame, frozen=True):
-    """Carry a coordinator's map-change message to a rank."""
+class MapFrame(Frame, frozen=True):
+    """Carry a map-change message between sidecars of a group."""
 
     group: str
-    body: dict[str, Any]
+    message: AnyMapMessage
 
 
-class MapReply(Frame, frozen=True):
-    """Carry a rank's map-change answer to its coordinator or a peer."""
+class RankShare(Frame, frozen=True):
+    """Give a rank its share of the group's requests; 1 is an even one."""
 
     group: str
-    rank: int
-    body: dict[str, Any]
+    share: float
 
 
 class RankReport(Frame, frozen=True):
-    """Report a rank's step time and tokens per expert since the last.
+    """Report a rank's step time and tokens a step by expert.
 
-    ``loads`` maps an expert's index to its tokens, layers summed or
-    by layer where ``layer`` is set.
+    ``loads`` is keyed by the expert's number, layers counted in.
     """
 
     group: str
     rank: int
     step: int
     step_ms: float
-    loads: list[float]
+    requests: float
+    loads: dict[int, float]
 
 
 AnyFrame = (
@@ -238,8 +239,8 @@
     | ShareAsk
     | ShareGrant
     | Accused
-    | MapOrder
-    | MapReply
+    | MapFrame
+    | RankShare
     | RankReport
 )
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/objects.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/objects.py
@@ -12,7 +12,9 @@
 
     Prices are in milliseconds of step time: ``skew_price`` multiplies the
     time saved a step, ``move_price_ms`` is charged once for each expert
-    moved. ``horizon_steps`` is how long a move may take to pay off.
+    moved. ``horizon_steps`` is how long a move may take to pay off. A step
+    is predicted to take ``base_ms``, and ``token_ms`` a token of the rank's
+    experts and ``request_ms`` a running request more.
     """
 
     model: str
@@ -26,13 +28,18 @@
     moves_a_batch: int = 8
     expert_bytes: int = 50_000_000
     batch_bytes_a_s: int = 1_000_000_000
+    decide_s: float = 30
+    base_ms: float = 15
+    token_ms: float = 0.05
+    request_ms: float = 0.5
 
 
 class ExpertMap(Named, frozen=True):
     """Place the experts of a group: ``placement[rank]`` lists its experts.
 
-    The same placement holds in all ``layers``. ``spare_slots`` is how many
-    further experts each rank can hold.
+    Experts are numbered over all ``layers``, so ``experts`` is a multiple
+    of it. ``spare_slots`` is how many further experts of a layer each rank
+    can hold.
     """
 
     experts: int
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -21,6 +21,7 @@
 DEFAULT_SERVICE_S = 0.05
 SUBSET_SIZE = 16
 CHOICES = 2
+LOWEST_SHARE = 0.05
 NOBODY: frozenset[str] = frozenset()
 
 
@@ -113,7 +114,8 @@
         service_s = beat.service_ms / 1000 or DEFAULT_SERVICE_S
         known = beat.queued + beat.running + self.sent_since
         ahead = max(known, self.in_flight)
-        load = (ahead + 1) / slots * service_s
+        share = max(beat.share, LOWEST_SHARE)
+        load = (ahead + 1) / slots * service_s / share
         step = beat.step_ms / 1000
         age = max(0, now - self.heard_at)
         return (load + step) * (1 + AGE_PENALTY * age)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/serving.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/serving.py
@@ -1,13 +1,8 @@
 """Serve attempts at a sidecar: admit, claim, run, answer."""
 
-import hashlib
-import json
 import time
-from dataclasses import dataclass, field
 
 import gevent
-from gevent.event import Event
-from geventhttpclient.response import HTTPSocketPoolResponse
 
 from comfreyarch_core import admission, claims, frames, suspects
 from comfreyarch_core.admission import Admission
@@ -17,68 +12,22 @@
 from comfreyarch_core.suspects import CrashDesk
 from comfreyarch_daemon.claiming import Claiming
 from comfreyarch_daemon.node import Node
-from comfreyarch_daemon.upstreaming import (
-    CallLost,
-    NotTaken,
-    UpstreamCaller,
-    head_of,
-    read_events,
-    read_whole,
-    release,
-)
+from comfreyarch_daemon.relaying import Relay
+from comfreyarch_daemon.upstreaming import CallLost, NotTaken, UpstreamCaller
 from comfreyarch_daemon.watching import UpstreamWatch
 from comfreyarch_daemon.wire import Link
+from comfreyarch_daemon.works import Work, digest_of
 
 MS_A_SECOND = 1000
-WINDOW_BYTES = 262_144
 TICK_S = 0.05
 COME_BACK_S = 1.0
 
 
-@dataclass(slots=True)
-class Work:
-    """Hold one attempt at work in this sidecar."""
-
-    call: frames.Call
-    link: Link
-    digest: str
-    deadline: float
-    admitted: bool = False
-    life: int = 0
-    handed: bool = False
-    credit: int = WINDOW_BYTES
-    credited: Event = field(default_factory=Event)
-    greenlet: gevent.Greenlet | None = None
-
-
-def digest_of(call: frames.Call) -> str:
-    """Digest what a call asks of the upstream.
-
-    :returns: a SHA-256 in hex.
-    """
-    hasher = hashlib.sha256(f'{call.method}\n{call.path}\n'.encode())
-    hasher.update(call.body)
-    return hasher.hexdigest()
-
-
-def resumed_body(call: frames.Call) -> bytes:
-    """Add the point to resume from to a chat body.
-
-    :returns: the body to send.
-    """
-    if not call.resume_from:
-        return call.body
-    asked = json.loads(call.body)
-    asked['resume_from'] = call.resume_from
-    return json.dumps(asked).encode()
-
-
 class Serving:
     """Run attempts at one upstream."""
 
     __slots__ = (
         'admission',
-        'caller',
         'claiming',
         'crash_desk',
         'greenlet',
@@ -86,6 +35,7 @@
         'metrics',
         'node',
         'on_crash',
+        'relay',
         'watch',
         'works',
     )
@@ -100,7 +50,7 @@
         """Prepare to serve; slots come with the configuration."""
         self.node = node
         self.metrics = node.metrics
-        self.caller = caller
+        self.relay = Relay(caller, self.hand)
         self.watch = watch
         self.crash_desk = crash_desk
         self.admission = Admission(1, node.settings.queue_limit)
@@ -121,7 +71,7 @@
         self.claiming.close()
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
-        self.caller.close()
+        self.relay.close()
 
     def tick_loop(self) -> None:
         """Refuse what can no longer make its deadline."""
@@ -247,7 +197,7 @@
         """Hand a claimed call to the upstream, once."""
         attempt = work.call.attempt
         try:
-            answer = self.whole_answer(work)
+            answer = self.relay.whole_answer(work)
         except NotTaken:
             self.claiming.handle(claims.Untaken(attempt))
             return
@@ -258,21 +208,6 @@
         self.survived(work)
         self.claiming.handle(claims.Ran(attempt, answer))
 
-    def whole_answer(self, work: Work) -> Answer:
-        """Call the upstream and read the whole answer.
-
-        :raises NotTaken: if the call did not reach it.
-        :raises CallLost: if it broke.
-        """
-        self.hand(work)
-        response = self.caller.open(work.call)
-        try:
-            body = read_whole(response)
-        finally:
-            release(response)
-        status, headers = head_of(response)
-        return Answer(status, headers, body)
-
     def hand(self, work: Work) -> None:
         """Mark an attempt as handed to the upstream's present life."""
         work.handed = True
@@ -282,7 +217,7 @@
     def run_plain(self, work: Work) -> None:
         """Run a call that may be repeated, streaming where asked."""
         try:
-            self.relay(work)
+            self.relay.stream(work)
         except NotTaken:
             self.watch.look()
             self.refuse(work, not_run(Kind.no_upstream, COME_BACK_S))
@@ -294,57 +229,6 @@
             self.survived(work)
             self.finish(work)
 
-    def relay(self, work: Work) -> None:
-        """Pass an answer on as it comes.
-
-        :raises NotTaken: if the call did not reach the upstream.
-        :raises CallLost: if it broke.
-        """
-        self.hand(work)
-        call = work.call
-        sent = frames.Call(
-            call.attempt,
-            call.request,
-            call.team,
-            call.method,
-            call.path,
-            call.headers,
-            resumed_body(call),
-            call.deadline_ms,
-        )
-        response = self.caller.open(sent)
-        try:
-            self.pass_on(work, response)
-        finally:
-            release(response)
-
-    def pass_on(self, work: Work, response: HTTPSocketPoolResponse) -> None:
-        """Send head, chunks and end of a response.
-
-        :raises CallLost: if it breaks.
-        """
-        attempt = work.call.attempt
-        status, headers = head_of(response)
-        work.link.send(frames.Head(attempt, status, headers))
-        offset = 0
-        if work.call.stream:
-            for event in read_events(response):
-                self.send_part(work, offset, event)
-                offset += len(event)
-        else:
-            body = read_whole(response)
-            self.send_part(work, 0, body)
-            offset = len(body)
-        work.link.send(frames.End(attempt, offset))
-
-    def send_part(self, work: Work, offset: int, body: bytes) -> None:
-        """Send a chunk once the entry has room for it."""
-        while work.credit <= 0:
-            work.credited.clear()
-            work.credited.wait()
-        work.credit -= len(body)
-        work.link.send(frames.Chunk(work.call.attempt, offset, body))
-
     def check_crash(self, work: Work) -> bool:
         """Find out whether the upstream died, and who was in flight.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -8,6 +8,7 @@
 from comfreyarch_core import frames, suspects
 from comfreyarch_core.checking import ConfigSet, RawSet
 from comfreyarch_core.suspects import make_crash_desk
+from comfreyarch_daemon.grouping import Grouping, make_seat
 from comfreyarch_daemon.logs import log_change
 from comfreyarch_daemon.node import Node
 from comfreyarch_daemon.publishing import edit
@@ -30,6 +31,7 @@
     __slots__ = (
         'config',
         'crash_desk',
+        'grouping',
         'leaving',
         'listed_leaving',
         'node',
@@ -46,6 +48,7 @@
         self.upstream = upstream
         self.config = ConfigSet()
         self.crash_desk = make_crash_desk()
+        self.grouping: Grouping | None = None
         self.watch = UpstreamWatch(upstream.url, node.send_beats)
         self.serving = Serving(
             node,
@@ -68,6 +71,8 @@
         """Stop serving."""
         self.ticker.close()
         self.serving.close()
+        if self.grouping is not None:
+            self.grouping.close()
 
     def look(self) -> None:
         """Look after the upstream."""
@@ -123,10 +128,22 @@
             if services is not None:
                 slots = services.slots
             self.serving.admission.slots = slots
+        if group is not None:
+            self.join(config)
         published = suspects.Published(frozenset(config.quarantines))
         self.crash(published)
         self.update_leaving()
 
+    def join(self, config: ConfigSet) -> None:
+        """Join the rank group, or take its new configuration."""
+        if self.grouping is None:
+            seat = make_seat(config, self.upstream.name)
+            if seat is None:
+                return
+            self.grouping = Grouping(self.node, seat, self.upstream.url)
+            self.grouping.start()
+        self.grouping.configure(config)
+
     def listed(self, instances: list[Instance]) -> None:
         """Take the instance list: this node's own entry counts."""
         mine = [one for one in instances if one.node == self.node.me.node]
@@ -136,9 +153,9 @@
     def wanted(self) -> list[Instance]:
         """Tell which instances to keep links to.
 
-        :returns: none; entries connect here.
+        :returns: ranks of the group; entries connect here by themselves.
         """
-        return []
+        return self.grouping.wanted() if self.grouping is not None else []
 
     def frame(self, link: Link, frame: frames.AnyFrame) -> None:
         """Take a frame."""
@@ -153,9 +170,29 @@
                 self.crash(suspects.Heard(digest, crashes))
             case frames.Beat():
                 return
+            case _:
+                self.group_frame(link, frame)
+
+    def group_frame(self, link: Link, frame: frames.AnyFrame) -> None:
+        """Take a frame of the rank group."""
+        grouping = self.grouping
+        if grouping is None:
+            self.node.metrics.count('frames_unexpected')
+            return
+        match frame:
+            case frames.MapFrame(group, message) if self.mine(group):
+                grouping.take(link.remote.node, message)
+            case frames.RankReport():
+                grouping.leading.report(frame)
+            case frames.RankShare(_, share):
+                grouping.share = share
             case _:
                 self.node.metrics.count('frames_unexpected')
 
+    def mine(self, group: str) -> bool:
+        """Tell whether a group is this sidecar's own."""
+        return self.grouping is not None and self.grouping.seat.group == group
+
     def crash(self, message: suspects.Message) -> None:
         """Tell the crash desk and carry out what it decides."""
         for outcome in self.crash_desk.handle(message, time.monotonic()):
@@ -209,8 +246,19 @@
             admission.slots,
             admission.wait_s(queued) * MS_A_SECOND,
             admission.service_s * MS_A_SECOND,
+            self.step_ms(),
+            self.grouping.share if self.grouping is not None else 1,
         )
 
+    def step_ms(self) -> float:
+        """Give the rank's last step time.
+
+        :returns: 0 for plain services.
+        """
+        if self.grouping is None or self.grouping.ranking.last is None:
+            return 0
+        return self.grouping.ranking.last.step_ms
+
     def status(self) -> dict[str, Any]:
         """Give the sidecar's state.
 
@@ -226,11 +274,14 @@
             'queued': len(admission.queue),
             'running': len(admission.running),
             'claims_open': len(self.serving.claiming.desk.keys),
+            **(self.grouping.status() if self.grouping is not None else {}),
         }
 
     def report(self) -> dict[str, Any]:
         """Give the sidecar's part of the report.
 
-        :returns: plain values for the report page.
+        :returns: the group's plan where this sidecar leads.
         """
-        return {}
+        if self.grouping is None:
+            return {}
+        return self.grouping.leading.explain()
