--- a/bench/replay.py
+++ b/bench/replay.py
@@ -34,6 +34,7 @@
     rank_times,
 )
 from comfreyarch_core.loads import Report, make_estimator
+from comfreyarch_core.mapmessages import FIRST_MAP
 from comfreyarch_core.moves import limit_ms, pack
 
 SEED = 11
@@ -108,6 +109,7 @@
             profile.price,
             self.seen_costs,
         )
+        self.map_id = FIRST_MAP
         self.even = [float(REQUESTS_A_RANK)] * profile.ranks
         self.spread = self.even
         self.late: list[tuple[int, Report]] = []
@@ -155,7 +157,14 @@
                 for expert in held
             }
             step_ms = times[rank] * self.source.gauss(1, case.noise)
-            report = Report(rank, number, step_ms, loads, self.spread[rank])
+            report = Report(
+                rank,
+                number,
+                step_ms,
+                loads,
+                self.spread[rank],
+                self.map_id,
+            )
             self.late.append((number + case.lag, report))
         due = [one for when, one in self.late if when <= number]
         self.late = [pair for pair in self.late if pair[0] > number]
@@ -167,7 +176,7 @@
         if self.policy == 'static':
             return
         if self.policy == 'repack':
-            picture = self.balancer.estimator.picture(self.placement)
+            picture = self.balancer.estimator.picture()
             packed = pack(self.placement, picture, self.costs, self.limits)
             self.change(packed)
         for outcome in self.balancer.handle(Decide(), at):
@@ -186,7 +195,8 @@
         """Put a map in force."""
         self.run.moved += count_loads(self.placement, placement)
         self.placement = placement
-        self.balancer.handle(MapInForce(placement), 0)
+        self.map_id = f'map-{self.run.moved}'
+        self.balancer.handle(MapInForce(placement, self.map_id), 0)
 
 
 def compare(profile: Profile, case: Case) -> None:
--- a/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
@@ -16,19 +16,22 @@
     spread_requests,
 )
 from comfreyarch_core.loads import LoadEstimator, Report
+from comfreyarch_core.mapmessages import FIRST_MAP
 from comfreyarch_core.moves import Limits, Plan, Price, plan_moves
 
-CONFIRMATIONS = 2
+CONFIRMATIONS = 3
 MIN_GAIN_SHARE = 0.01
 ABANDON_SHARE = 0.5
 COOL_DOWN_DECISIONS = 2
+SPREAD_GAIN_SHARE = 0.01
 
 
 @dataclass(frozen=True, slots=True)
 class MapInForce:
-    """Tell the map in force."""
+    """Tell the map in force and its name."""
 
     placement: Placement
+    map_id: str = FIRST_MAP
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,10 +99,9 @@
             case Report():
                 self.estimator.take(message, now)
                 return []
-            case MapInForce(placement):
-                if placement != self.placement:
-                    self.placement = placement
-                    self.estimator.moved(placement)
+            case MapInForce(placement, map_id):
+                self.placement = placement
+                self.estimator.moved(placement, map_id)
                 return []
             case ChangeEnded():
                 self.proposed = None
@@ -123,7 +125,7 @@
 
     def spread(self) -> list[Outcome]:
         """Give shares that even the predicted rank times."""
-        picture = self.estimator.picture(self.placement)
+        picture = self.estimator.picture()
         costs = self.costs
         fixed = [
             costs.base_ms + own
@@ -137,12 +139,36 @@
             costs.request_ms,
         )
         even = requests / len(fixed)
-        self.shares = tuple(round(own / even, 3) for own in spread)
-        return [Shares(self.shares)]
+        shares = tuple(round(own / even, 3) for own in spread)
+        if not self.spread_pays(picture, shares, even):
+            return []
+        self.shares = shares
+        return [Shares(shares)]
+
+    def spread_pays(
+        self,
+        picture: Picture,
+        shares: tuple[float, ...],
+        even: float,
+    ) -> bool:
+        """Tell whether new shares gain more than the reports' noise."""
+        former = self.shares or (1.0,) * len(shares)
+        before, after = (
+            max(
+                rank_times(
+                    self.placement,
+                    picture,
+                    self.costs,
+                    [share * even for share in given],
+                ),
+            )
+            for given in (former, shares)
+        )
+        return before - after > SPREAD_GAIN_SHARE * before
 
     def plan(self) -> Plan | None:
         """Plan on the present picture."""
-        picture = self.estimator.picture(self.placement)
+        picture = self.estimator.picture()
         return plan_moves(
             self.placement,
             picture,
@@ -155,7 +181,7 @@
         """Propose a plan that pays at enough looks on end."""
         plan = self.plan()
         self.last = plan
-        if plan is None or not self.pays(plan):
+        if plan is None or not self.pays(plan) or not self.pays_now(plan):
             self.agreed = 0
             return []
         self.agreed += 1
@@ -174,17 +200,25 @@
 
     def weigh_proposed(self, proposed: Plan) -> list[Outcome]:
         """Abandon a change under way once it no longer pays."""
-        picture = self.estimator.picture(self.placement)
-        before = max(self.times(self.placement, picture))
-        after = max(self.times(proposed.placement, picture))
-        worth = (before - after) * self.price.skew_price
-        if (
-            worth * self.price.horizon_steps
-            >= ABANDON_SHARE * proposed.price_ms
-        ):
+        if self.worth_now(proposed) >= ABANDON_SHARE * proposed.price_ms:
             return []
         return [AbandonMap()]
 
+    def pays_now(self, plan: Plan) -> bool:
+        """Tell whether a plan also pays by the last reports alone.
+
+        :returns: False once a rush is over, though the estimate lags.
+        """
+        return self.worth_now(plan) > plan.price_ms
+
+    def worth_now(self, plan: Plan) -> float:
+        """Give what a plan is worth by the last reports alone."""
+        picture = self.estimator.picture(latest=True)
+        before = max(self.times(self.placement, picture))
+        after = max(self.times(plan.placement, picture))
+        worth_a_ms = self.price.skew_price * self.price.horizon_steps
+        return (before - after) * worth_a_ms
+
     def times(self, placement: Placement, picture: Picture) -> list[float]:
         """Predict rank times of a map."""
         return rank_times(placement, picture, self.costs)
--- a/packages/comfreyarch-core/src/comfreyarch_core/frames.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/frames.py
@@ -220,6 +220,7 @@
     step_ms: float
     requests: float
     loads: dict[int, float]
+    map_id: str = ''
 
 
 AnyFrame = (
--- a/packages/comfreyarch-core/src/comfreyarch_core/loads.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/loads.py
@@ -1,23 +1,33 @@
 """Estimate the load of every expert and the slowness of every rank.
 
-Reports come late, repeated, with gaps or not at all. An older report is
-dropped; a silent rank keeps its last estimate. A rank is slow, not hot,
-when it takes longer than its own tokens explain, compared with the median
-of the group, for several reports on end.
+Reports come late, repeated, with gaps or not at all. The replicas of an
+expert share its load evenly, so one holder's report tells the whole load,
+by the number of holders in the map that the report names; late reports
+under a former map stay right, and a silent rank leaves no hole where
+another holds the same expert. A rank is slow, not hot, when it takes
+longer than its own tokens explain, compared with the median of the group,
+for several reports on end.
 """
 
 import statistics
 from dataclasses import dataclass, field
 
-from comfreyarch_core.costs import CostModel, Picture, Placement
+from comfreyarch_core.costs import (
+    CostModel,
+    Picture,
+    Placement,
+    count_holders,
+)
+from comfreyarch_core.mapmessages import FIRST_MAP
 
-SMOOTHING = 0.3
+SMOOTHING = 0.5
 SLOW_SMOOTHING = 0.4
 SLOW_FACTOR = 1.15
 RECOVERED_FACTOR = 1.07
 SLOW_REPORTS = 3
 SILENT_S = 60.0
 LOWEST_RATIO = 0.01
+MAPS_KEPT = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +38,7 @@
     :param step_ms: the rank's own busy time a step.
     :param loads: tokens a step by expert that the rank holds.
     :param requests: running requests.
+    :param map_id: the map under which the rank ran.
     """
 
     rank: int
@@ -35,6 +46,7 @@
     step_ms: float
     loads: dict[int, float]
     requests: float = 0
+    map_id: str = FIRST_MAP
 
 
 @dataclass(slots=True)
@@ -47,25 +59,23 @@
     high: int = 0
     slow: bool = False
     requests: float = 0
-    loads: dict[int, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
 class LoadEstimator:
     """Estimate loads and slowness of one group.
 
-    :param ranks: the group's size.
-    :param experts: experts over all layers.
+    :param views: one a rank.
+    :param smoothed: tokens a step by expert.
+    :param latest: the same by the last reports alone.
+    :param holders: how many ranks held each expert, by map.
     """
 
-    ranks: int
-    experts: int
     costs: CostModel
-    views: list[RankView] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        """Start with nothing known."""
-        self.views = [RankView() for _ in range(self.ranks)]
+    views: list[RankView]
+    smoothed: list[float]
+    latest: list[float]
+    holders: dict[str, list[int]] = field(default_factory=dict)
 
     def take(self, report: Report, now: float) -> None:
         """Take a report, unless it is older than the last."""
@@ -75,9 +85,21 @@
         view.step = report.step
         view.heard_at = now
         view.requests = report.requests
-        smooth(view.loads, report.loads)
+        holders = self.holders.get(report.map_id)
+        if holders is not None:
+            self.learn(report, holders)
         self.judge(view, report)
 
+    def learn(self, report: Report, holders: list[int]) -> None:
+        """Learn whole loads from one holder's report."""
+        for expert, load in report.loads.items():
+            if expert >= len(holders) or not holders[expert]:
+                continue
+            whole = load * holders[expert]
+            self.latest[expert] = whole
+            known = self.smoothed[expert] or whole
+            self.smoothed[expert] = known + SMOOTHING * (whole - known)
+
     def judge(self, view: RankView, report: Report) -> None:
         """Compare a rank's time with what its tokens explain."""
         costs = self.costs
@@ -116,35 +138,15 @@
             for view in self.views
         ]
 
-    def loads(self, placement: Placement) -> list[float]:
-        """Estimate the whole load of every expert.
-
-        A holder that never reported counts as its heard co-holders do.
-
-        :returns: tokens a step by expert.
-        """
-        total = [0.0] * self.experts
-        heard = [0] * self.experts
-        holders = [0] * self.experts
-        for rank, held in enumerate(placement):
-            known = self.views[rank].loads
-            for expert in held:
-                holders[expert] += 1
-                if expert in known:
-                    heard[expert] += 1
-                    total[expert] += known[expert]
-        return [
-            load * holders[number] / max(1, heard[number])
-            for number, load in enumerate(total)
-        ]
-
-    def picture(self, placement: Placement) -> Picture:
+    def picture(self, *, latest: bool = False) -> Picture:
         """Give the group as it is believed to be.
 
+        :param latest: take the last reports alone, not smoothed.
         :returns: the picture that placement and moves are decided on.
         """
+        loads = self.latest if latest else self.smoothed
         requests = sum(view.requests for view in self.views)
-        return Picture(self.loads(placement), self.slowness(), requests)
+        return Picture(loads, self.slowness(), requests)
 
     def complete(self, now: float) -> bool:
         """Tell whether enough is known to move experts.
@@ -156,46 +158,26 @@
             for view in self.views
         )
 
-    def moved(self, placement: Placement) -> None:
-        """Take a new map: loads of an expert go to its new holders."""
-        loads = self.loads_by_expert()
-        holders: dict[int, int] = {}
-        for held in placement:
-            for expert in held:
-                holders[expert] = holders.get(expert, 0) + 1
-        for rank, held in enumerate(placement):
-            self.views[rank].loads = {
-                one: loads.get(one, 0) / holders[one] for one in held
-            }
-
-    def loads_by_expert(self) -> dict[int, float]:
-        """Sum what all ranks reported.
-
-        :returns: tokens a step by expert.
-        """
-        summed: dict[int, float] = {}
-        for view in self.views:
-            for expert, load in view.loads.items():
-                summed[expert] = summed.get(expert, 0) + load
-        return summed
-
-
-def smooth(known: dict[int, float], fresh: dict[int, float]) -> None:
-    """Move known loads towards fresh ones; unknown ones are taken whole."""
-    for expert in known.keys() - fresh.keys():
-        known.pop(expert)
-    for expert, load in fresh.items():
-        former = known.get(expert, load)
-        known[expert] = former + SMOOTHING * (load - former)
+    def moved(self, placement: Placement, map_id: str) -> None:
+        """Take note of a map, so that reports under it can be read."""
+        self.holders.pop(map_id, None)
+        self.holders[map_id] = count_holders(placement, len(self.smoothed))
+        if len(self.holders) > MAPS_KEPT:
+            self.holders.pop(next(iter(self.holders)))
 
 
 def make_estimator(
     placement: Placement,
     experts: int,
     costs: CostModel,
+    map_id: str = FIRST_MAP,
 ) -> LoadEstimator:
     """Make the estimator of a group.
 
     :returns: an estimator that has heard nobody.
     """
-    return LoadEstimator(len(placement), experts, costs)
+    views = [RankView() for _ in placement]
+    nothing = [0.0] * experts
+    estimator = LoadEstimator(costs, views, nothing, list(nothing))
+    estimator.moved(placement, map_id)
+    return estimator
--- a/packages/comfreyarch-core/src/comfreyarch_core/moves.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/moves.py
@@ -18,6 +18,7 @@
 )
 
 TARGETS = 6
+LOADS_OF = {'swap': 2, 'displace': 2, 'drop': 0}
 MIN_GAIN_MS = 1e-6
 
 
@@ -54,7 +55,8 @@
     """Describe one change of the map.
 
     ``kind`` is ``swap``, ``move``, ``replica``, ``replace`` (a replica in
-    the slot of another's) or ``drop``; ``given`` goes from ``source`` to
+    the slot of another's), ``displace`` (the same, the other moving on to
+    ``via``) or ``drop``; ``given`` goes from ``source`` to
     ``target``, ``taken`` leaves ``target``.
     """
 
@@ -63,6 +65,7 @@
     source: int
     target: int
     taken: int = -1
+    via: int = -1
 
     @property
     def loads(self) -> int:
@@ -70,7 +73,7 @@
 
         :returns: 0 to 2.
         """
-        return {'swap': 2, 'drop': 0}.get(self.kind, 1)
+        return LOADS_OF.get(self.kind, 1)
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +121,7 @@
     expert_ms: list[float] = field(default_factory=list)
     used: list[dict[int, int]] = field(default_factory=list)
     where: list[set[int]] = field(default_factory=list)
+    spares: list[int] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Copy the placement and sum it up."""
@@ -125,6 +129,13 @@
         self.holders = count_holders(self.placement, len(self.picture.loads))
         self.expert_ms = [self.sum_rank(held) for held in self.placement]
         self.used = [self.count_layers(held) for held in self.placement]
+        capacity = self.limits.capacity
+        smallest = min(capacity)
+        self.spares = [
+            rank
+            for rank, slots in enumerate(capacity)
+            if slots > smallest or slots > self.least_used(rank)
+        ]
         self.where = [set() for _ in self.picture.loads]
         for rank, held in enumerate(self.placement):
             for expert in held:
@@ -146,6 +157,10 @@
             used[layer] = used.get(layer, 0) + 1
         return used
 
+    def least_used(self, rank: int) -> int:
+        """Give the fewest slots that a rank uses in a layer."""
+        return min(self.used[rank].values(), default=0)
+
     def room(self, rank: int, layer: int) -> bool:
         """Tell whether a rank has a free slot in a layer."""
         return self.used[rank].get(layer, 0) < self.limits.capacity[rank]
@@ -216,6 +231,24 @@
             yield Change('swap', given, source, target, taken)
             if self.holders[taken] > 1:
                 yield Change('replace', given, source, target, taken)
+                continue
+            via = self.roomy(layer, taken, target)
+            if via >= 0:
+                yield Change('displace', given, source, target, taken, via)
+
+    def roomy(self, layer: int, taken: int, target: int) -> int:
+        """Find the coolest rank with a free slot for a displaced expert.
+
+        :returns: a rank, or -1 where there is none.
+        """
+        ranks = [
+            rank
+            for rank in self.spares
+            if rank != target
+            and rank not in self.where[taken]
+            and self.room(rank, layer)
+        ]
+        return min(ranks, key=self.hot, default=-1)
 
     def deltas(self, change: Change) -> dict[int, float]:
         """Work out how a change shifts expert milliseconds by rank."""
@@ -234,6 +267,8 @@
                 return {source: -share, target: share}
             case 'replace':
                 return self.replace_deltas(change)
+            case 'displace':
+                return self.displace_deltas(change)
         back = self.share_ms(change.taken, self.holders[change.taken])
         return {source: back - share, target: share - back}
 
@@ -252,6 +287,16 @@
         shifted[target] = shifted.get(target, 0) + own
         return shifted
 
+    def displace_deltas(self, change: Change) -> dict[int, float]:
+        """Work out a replica whose slot's expert moves on."""
+        fresh = self.holders[change.given] + 1
+        shifted = self.spread_delta(change.given, fresh, -1, 0)
+        moved = self.share_ms(change.taken, self.holders[change.taken])
+        own = self.share_ms(change.given, fresh) - moved
+        shifted[change.target] = shifted.get(change.target, 0) + own
+        shifted[change.via] = shifted.get(change.via, 0) + moved
+        return shifted
+
     def spread_delta(
         self,
         expert: int,
@@ -282,10 +327,12 @@
         source, target = change.source, change.target
         if change.kind in {'drop', 'move', 'swap'}:
             self.take_out(source, change.given)
-        if change.kind in {'swap', 'replace'}:
+        if change.kind in {'swap', 'replace', 'displace'}:
             self.take_out(target, change.taken)
         if change.kind == 'swap':
             self.put_in(source, change.taken)
+        if change.kind == 'displace':
+            self.put_in(change.via, change.taken)
         if change.kind != 'drop':
             self.put_in(target, change.given)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
@@ -59,6 +59,7 @@
     group: ModelGroup,
     expert_map: ExpertMap,
     placement: Placement,
+    map_id: str,
 ) -> Balancer:
     """Make the balancer of a group from its configuration.
 
@@ -78,7 +79,12 @@
         group.horizon_steps,
         max(1, min(group.moves_a_batch, int(budget))),
     )
-    estimator = make_estimator(placement, expert_map.experts, costs)
+    estimator = make_estimator(
+        placement,
+        expert_map.experts,
+        costs,
+        map_id,
+    )
     return Balancer(estimator, placement, limits, price, costs)
 
 
@@ -99,6 +105,7 @@
         'group',
         'holder',
         'keeper',
+        'map_id',
         'number',
         'seat',
         'send',
@@ -129,6 +136,7 @@
         self.greenlet: gevent.Greenlet | None = None
         self.writing = False
         self.number = 0
+        self.map_id = ''
         self.decided_at = time.monotonic()
         self.send_share: Callable[[int, float], None] = ignore_share
 
@@ -147,8 +155,13 @@
         self.expert_map = expert_map
         if self.balancer is not None:
             former = self.balancer
-            self.balancer = make_balancer(group, expert_map, former.placement)
-            self.balancer.estimator.views = former.estimator.views
+            self.balancer = make_balancer(
+                group,
+                expert_map,
+                former.placement,
+                self.map_id,
+            )
+            self.balancer.estimator = former.estimator
 
     def loop(self) -> None:
         """Let time pass for lease, coordinator and balancer."""
@@ -257,6 +270,7 @@
             map=outcome.map_id,
             epoch=outcome.epoch,
         )
+        self.map_id = outcome.map_id
         group, expert_map = self.group, self.expert_map
         if self.balancer is None:
             if group is not None and expert_map is not None:
@@ -264,9 +278,10 @@
                     group,
                     expert_map,
                     outcome.placement,
+                    outcome.map_id,
                 )
             return
-        self.balance(MapInForce(outcome.placement))
+        self.balance(MapInForce(outcome.placement, outcome.map_id))
 
     def report(self, report: frames.RankReport) -> None:
         """Take a rank's report."""
@@ -279,6 +294,7 @@
             report.step_ms,
             report.loads,
             report.requests,
+            report.map_id,
         )
         self.balancer.handle(taken, time.monotonic())
 
@@ -289,6 +305,8 @@
             return
         self.decided_at = now
         self.balance(Decide())
+        if self.balancer.shares:
+            self.send_shares(self.balancer.shares)
 
     def balance(self, message: ChangeEnded | MapInForce | Decide) -> None:
         """Tell the balancer and carry out what it decides."""
@@ -296,8 +314,8 @@
             return
         for outcome in self.balancer.handle(message, time.monotonic()):
             match outcome:
-                case Shares(shares):
-                    self.send_shares(shares)
+                case Shares():
+                    continue
                 case ProposeMap(plan):
                     self.propose(plan)
                 case AbandonMap():
@@ -329,7 +347,7 @@
             return {}
         balancer = self.balancer
         plan = balancer.plan()
-        picture = balancer.estimator.picture(balancer.placement)
+        picture = balancer.estimator.picture()
         page: dict[str, Any] = {
             'group': self.seat.group,
             'slowness': list(picture.slowness),
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranking.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranking.py
@@ -170,6 +170,7 @@
                 for expert in own
                 if expert < len(state.loads)
             },
+            state.rank_state.map_id,
         )
 
 
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,127 @@
+"""Check admission: hard limits, fairness, deadlines, leaving."""
+
+import random
+
+import pytest
+
+from comfreyarch_core import admission as admitting
+from comfreyarch_core.admission import Admission, Offer, Refuse, Run
+from comfreyarch_core.refusals import Kind, Ran
+
+FAR = 1e9
+
+
+def offer(admission: Admission, name: str, team: str = 't', **more) -> list:
+    given = {'deadline': FAR, **more}
+    return admission.handle(Offer(name, team, **given), 0)
+
+
+def kinds(outcomes: list) -> list[Kind]:
+    return [one.refusal.kind for one in outcomes if isinstance(one, Refuse)]
+
+
+def test_no_more_than_the_slots_run_at_once() -> None:
+    admission = admitting.make_admission(2, 10)
+    for number in range(5):
+        offer(admission, f'a{number}')
+    assert len(admission.running) == 2
+    assert len(admission.queue) == 3
+
+
+def test_finishing_starts_the_next() -> None:
+    admission = admitting.make_admission(1, 10)
+    offer(admission, 'a')
+    offer(admission, 'b')
+    outcomes = admission.handle(admitting.Finished('a'), 1)
+    assert outcomes == [Run('b')]
+
+
+def test_full_queue_refuses_the_greediest_team_with_time_to_come_back() -> None:
+    admission = admitting.make_admission(1, 4)
+    for number in range(5):
+        offer(admission, f'big{number}', 'big')
+    outcomes = offer(admission, 'small', 'small')
+    refused = [one for one in outcomes if isinstance(one, Refuse)]
+    assert [one.attempt for one in refused] == ['big4']
+    assert refused[0].refusal.kind == Kind.overloaded
+    assert refused[0].refusal.ran == Ran.not_run
+    assert refused[0].refusal.retry_after_s >= 1
+
+
+def test_deadline_that_cannot_be_made_is_refused_at_once() -> None:
+    admission = admitting.make_admission(1, 10)
+    admission.service_s = 2
+    offer(admission, 'a')
+    outcomes = offer(admission, 'b', deadline=3)
+    assert kinds(outcomes) == [Kind.deadline]
+
+
+def test_waiting_past_its_deadline_is_refused_at_the_tick() -> None:
+    admission = admitting.make_admission(1, 10)
+    offer(admission, 'a')
+    offer(admission, 'b', deadline=1)
+    assert kinds(admission.handle(admitting.Tick(), 2)) == [Kind.deadline]
+
+
+def test_drain_gives_the_queue_back_and_lets_running_work_finish() -> None:
+    admission = admitting.make_admission(1, 10)
+    offer(admission, 'a')
+    offer(admission, 'b')
+    assert kinds(admission.handle(admitting.Drain(), 0)) == [Kind.leaving]
+    assert 'a' in admission.running
+    assert kinds(offer(admission, 'c')) == [Kind.leaving]
+    admission.handle(admitting.Resume(), 0)
+    assert kinds(offer(admission, 'd')) == []
+
+
+def test_isolated_attempt_runs_alone() -> None:
+    admission = admitting.make_admission(4, 10)
+    offer(admission, 'a')
+    admission.handle(admitting.Isolate('s'), 0)
+    assert offer(admission, 's') == []
+    assert offer(admission, 'b') == []
+    assert admission.handle(admitting.Finished('a'), 1) == [Run('s')]
+    assert admission.handle(admitting.Finished('s'), 2) == [Run('b')]
+
+
+def test_withdrawn_attempt_never_runs() -> None:
+    admission = admitting.make_admission(1, 10)
+    offer(admission, 'a')
+    offer(admission, 'b')
+    assert kinds(admission.handle(admitting.Withdraw('b'), 0)) == [
+        Kind.cancelled,
+    ]
+    assert admission.handle(admitting.Finished('a'), 1) == []
+
+
+@pytest.mark.parametrize('load', [1, 2, 4])
+def test_small_team_waits_little_beside_a_large_one(load: int) -> None:
+    """Virtual time: 4 slots of 0.1 s; the large team offers ``load``."""
+    admission = admitting.make_admission(4, 64)
+    source = random.Random(load)
+    events: list[tuple[float, int, str, str]] = []
+    for number in range(400 * load):
+        events.append((source.uniform(0, 10), number, 'offer', 'large'))
+    for number in range(20):
+        events.append(
+            (source.uniform(0, 10), 10_000 + number, 'offer', 'small')
+        )
+    waits: list[float] = []
+    began: dict[str, float] = {}
+    events.sort()
+    while events:
+        now, number, kind, team = events.pop(0)
+        if kind == 'offer':
+            name = f'{team}-{number}'
+            began[name] = now
+            outcomes = admission.handle(Offer(name, team, now + 3), now)
+        else:
+            outcomes = admission.handle(admitting.Finished(team), now)
+        for one in outcomes:
+            if isinstance(one, Run):
+                events.append((now + 0.1, number, 'finish', one.attempt))
+                if one.attempt.startswith('small'):
+                    waits.append(now - began[one.attempt])
+        events.sort()
+    assert len(waits) == 20
+    assert sorted(waits)[18] <= 0.1
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,124 @@
+"""Check that a caller gets the whole answer to its own request."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreyarch_core import following, frames, retrying
+from comfreyarch_core.following import AnswerFollower
+from comfreyarch_core.refusals import Kind, Ran, not_run, unknown
+
+BODY = [b'data: one\n\n', b'data: two\n\n', b'data: three\n\n']
+FAULTS = ('drop', 'repeat', 'reorder', 'other attempt', 'cut', 'late')
+
+
+def answer(attempt: str) -> list[frames.Frame]:
+    sent: list[frames.Frame] = [frames.Head(attempt, 200, {})]
+    offset = 0
+    for part in BODY:
+        sent.append(frames.Chunk(attempt, offset, part))
+        offset += len(part)
+    return [*sent, frames.End(attempt, offset)]
+
+
+def spoil(sent: list[frames.Frame], fault: str, at: int) -> list[frames.Frame]:
+    spoiled = list(sent)
+    if fault == 'drop':
+        spoiled.pop(at)
+    elif fault == 'repeat':
+        spoiled.insert(at, spoiled[at])
+    elif fault == 'reorder':
+        spoiled.insert(min(at + 1, len(spoiled)), spoiled.pop(at))
+    elif fault == 'other attempt':
+        spoiled[at:at] = answer('other')
+    elif fault == 'cut':
+        spoiled = spoiled[:at]
+    elif fault == 'late':
+        spoiled.append(spoiled[at])
+    return spoiled
+
+
+@pytest.mark.parametrize(
+    ('fault', 'at'),
+    list(itertools.product(FAULTS, range(5))),
+)
+def test_complete_means_every_byte_and_no_other(fault: str, at: int) -> None:
+    follower = AnswerFollower('mine')
+    received = b''
+    complete = False
+    for frame in spoil(answer('mine'), fault, at):
+        outcome = follower.handle(frame, 0)
+        if isinstance(outcome, following.Deliver):
+            received += outcome.body
+        complete = complete or isinstance(outcome, following.Complete)
+    whole = b''.join(BODY)
+    assert whole.startswith(received)
+    if complete:
+        assert received == whole
+    else:
+        ended = follower.lost()
+        assert follower.done
+        assert isinstance(ended, following.Broken | following.Ignored)
+    if fault in {'repeat', 'other attempt', 'late'}:
+        assert complete
+
+
+@settings(derandomize=True, max_examples=300)
+@given(st.lists(st.integers(0, 4), max_size=14))
+def test_any_order_of_frames_never_gives_a_wrong_answer(order: list) -> None:
+    sent = answer('mine')
+    follower = AnswerFollower('mine')
+    received = b''
+    for number in order:
+        outcome = follower.handle(sent[number], 0)
+        if isinstance(outcome, following.Deliver):
+            received += outcome.body
+        if isinstance(outcome, following.Complete):
+            assert received == b''.join(BODY)
+    assert b''.join(BODY).startswith(received)
+
+
+@pytest.mark.parametrize(
+    ('refusal', 'idempotent', 'left_s', 'wanted'),
+    [
+        (not_run(Kind.leaving), True, 1, True),
+        (not_run(Kind.leaving), False, 1, True),
+        (not_run(Kind.overloaded), False, 1, True),
+        (unknown(Kind.upstream_failed), True, 1, True),
+        (unknown(Kind.upstream_failed), False, 1, False),
+        (unknown(Kind.outcome_unknown), True, 1, False),
+        (not_run(Kind.quarantined), True, 1, False),
+        (not_run(Kind.leaving), True, 0, False),
+    ],
+)
+def test_only_what_may_repeat_is_retried(
+    refusal: object,
+    idempotent: bool,
+    left_s: float,
+    wanted: bool,
+) -> None:
+    failure = retrying.Failure(refusal, idempotent, 1, left_s)
+    assert retrying.may_retry(failure, retrying.RetryBudget()) is wanted
+
+
+def test_retries_stay_within_their_share_of_traffic() -> None:
+    budget = retrying.RetryBudget(0)
+    retried = 0
+    failure = retrying.Failure(not_run(Kind.overloaded), True, 1, 10)
+    for _ in range(1000):
+        budget.earn()
+        retried += retrying.may_retry(failure, budget)
+    assert retried <= 100
+
+
+def test_refusal_keeps_its_meaning_through_a_frame() -> None:
+    refusal = not_run(Kind.overloaded, 2.5, 'full')
+    frame = following.to_frame('a', refusal)
+    assert following.to_refusal(frame) == refusal
+
+
+def test_unknown_kind_counts_as_outcome_unknown() -> None:
+    frame = frames.Refused('a', 'from the future', 'not_run')
+    assert following.to_refusal(frame).ran == Ran.outcome_unknown
--- /dev/null
+++ b/tests/test_balance.py
@@ -0,0 +1,207 @@
+"""Check the balance policy: estimates, stragglers, moves, restraint."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from bench.demand import CASES, PROFILES, make_demand
+from bench.replay import Replay
+from comfreyarch_core import balancer as balancing
+from comfreyarch_core.balancer import Balancer
+from comfreyarch_core.costs import (
+    CostModel,
+    Picture,
+    rank_times,
+    spread_requests,
+)
+from comfreyarch_core.loads import Report, make_estimator
+from comfreyarch_core.moves import (
+    Limits,
+    Price,
+    limit_ms,
+    pack,
+    plan_moves,
+)
+
+COSTS = CostModel(10, 0.1, 1)
+LIMITS = Limits(8, (3, 2, 2, 2))
+PLACEMENT = [[0, 1], [2, 3], [4, 5], [6, 7]]
+CHEAP = Price(1, 1, 1000, 8)
+DEAR = Price(1, 1e9, 1000, 8)
+HOT = [400, 10, 10, 10, 10, 10, 10, 10]
+HEALTHY = [1.0, 1.0, 1.0, 1.0]
+
+
+def test_requests_fill_up_the_quickest_ranks() -> None:
+    spread = spread_requests([10, 20, 30, 60], HEALTHY, 60, 1)
+    assert sum(spread) == pytest.approx(60)
+    assert spread[3] == 0
+    times = [
+        own + more for own, more in zip([10, 20, 30], spread, strict=False)
+    ]
+    assert max(times) - min(times) < 1e-6
+
+
+def test_a_straggler_gets_fewer_requests() -> None:
+    spread = spread_requests([10] * 4, [1, 1, 1, 2], 60, 1)
+    assert spread[3] < spread[0] / 2
+
+
+def test_hot_expert_is_given_a_replica_or_swapped_away() -> None:
+    picture = Picture(HOT, HEALTHY, 0)
+    plan = plan_moves(PLACEMENT, picture, COSTS, LIMITS, CHEAP)
+    assert plan is not None
+    assert plan.after_ms < plan.before_ms
+    assert plan.worth_ms > plan.price_ms
+
+
+def test_nothing_moves_where_it_does_not_pay() -> None:
+    picture = Picture(HOT, HEALTHY, 0)
+    assert plan_moves(PLACEMENT, picture, COSTS, LIMITS, DEAR) is None
+    even = Picture([10] * 8, HEALTHY, 0)
+    assert plan_moves(PLACEMENT, even, COSTS, LIMITS, CHEAP) is None
+
+
+@pytest.mark.parametrize('seed', range(25))
+def test_any_plan_keeps_every_expert_and_every_slot(seed: int) -> None:
+    source = random.Random(seed)
+    ranks, layers, size = 8, 3, 16
+    placement = [
+        [
+            layer * size + rank * 2 + one
+            for layer in range(layers)
+            for one in (0, 1)
+        ]
+        for rank in range(ranks)
+    ]
+    capacity = tuple(2 + (rank % 4 == 0) for rank in range(ranks))
+    loads = [source.expovariate(0.1) for _ in range(layers * size)]
+    slow = [source.choice([1.0, 1.0, 1.3]) for _ in range(ranks)]
+    picture = Picture(loads, slow, source.randrange(0, 50))
+    limits = Limits(size, capacity)
+    price = Price(1, 0.01, 1000, 24)
+    plan = plan_moves(placement, picture, COSTS, limits, price)
+    packed = pack(placement, picture, COSTS, limits)
+    for found in [packed, *([plan.placement] if plan else [])]:
+        assert {one for held in found for one in held} == set(range(48))
+        for rank, held in enumerate(found):
+            assert len(set(held)) == len(held)
+            for layer in range(layers):
+                used = sum(1 for one in held if one // size == layer)
+                assert used <= capacity[rank]
+        times = rank_times(found, picture, COSTS)
+        assert max(times) >= limit_ms(picture, COSTS, limits) - 1e-6
+    if plan is not None:
+        after = max(rank_times(plan.placement, picture, COSTS))
+        assert after == pytest.approx(plan.after_ms)
+        assert plan.loads <= price.most_moves
+
+
+def report(rank: int, step: int, slow: float = 1, load: float = 10) -> Report:
+    held = PLACEMENT[rank]
+    loads = dict.fromkeys(held, load)
+    step_ms = slow * (10 + 0.1 * load * len(held))
+    return Report(rank, step, step_ms, loads)
+
+
+def test_slow_rank_is_told_from_a_hot_one() -> None:
+    estimator = make_estimator(PLACEMENT, 8, COSTS)
+    for step in range(1, 8):
+        estimator.take(report(0, step, slow=1.5), step)
+        estimator.take(report(1, step, load=100), step)
+        estimator.take(report(2, step), step)
+        estimator.take(report(3, step), step)
+    slowness = estimator.slowness()
+    assert slowness[0] > 1.3
+    assert slowness[1:] == [1.0, 1.0, 1.0]
+
+
+def test_straggler_that_recovers_is_cleared() -> None:
+    estimator = make_estimator(PLACEMENT, 8, COSTS)
+    for step in range(1, 30):
+        slow = 1.5 if step < 8 else 1
+        for rank in range(4):
+            estimator.take(report(rank, step, slow if rank == 0 else 1), step)
+    assert estimator.slowness() == HEALTHY
+
+
+def test_one_slow_report_makes_no_straggler() -> None:
+    estimator = make_estimator(PLACEMENT, 8, COSTS)
+    for step in range(1, 5):
+        for rank in range(4):
+            slow = 2 if rank == 0 and step == 3 else 1
+            estimator.take(report(rank, step, slow), step)
+    assert estimator.slowness() == HEALTHY
+
+
+def test_older_report_is_dropped_and_silence_keeps_the_estimate() -> None:
+    estimator = make_estimator(PLACEMENT, 8, COSTS)
+    estimator.take(report(0, 5, load=10), 0)
+    estimator.take(report(0, 4, load=900), 0)
+    assert estimator.picture().loads[0] == 10
+    assert not estimator.complete(0)
+
+
+def balancer_of(price: Price = CHEAP) -> Balancer:
+    estimator = make_estimator(PLACEMENT, 8, COSTS)
+    return Balancer(estimator, PLACEMENT, LIMITS, price, COSTS)
+
+
+def feed(balancer: Balancer, step: int, hot: float) -> list:
+    for rank, held in enumerate(PLACEMENT):
+        loads = {one: hot if one == 0 else 10.0 for one in held}
+        step_ms = 10 + 0.1 * sum(loads.values())
+        balancer.handle(Report(rank, step, step_ms, loads), step)
+    return balancer.handle(balancing.Decide(), step)
+
+
+def proposals(outcomes: list) -> list:
+    return [one for one in outcomes if isinstance(one, balancing.ProposeMap)]
+
+
+def test_plan_must_pay_at_several_looks() -> None:
+    balancer = balancer_of()
+    assert not proposals(feed(balancer, 1, 400))
+    assert not proposals(feed(balancer, 2, 400))
+    assert proposals(feed(balancer, 3, 400))
+
+
+def test_short_rush_moves_nothing() -> None:
+    balancer = balancer_of()
+    for step in range(1, 20):
+        hot = 400 if step in {5, 6} else 10
+        assert not proposals(feed(balancer, step, hot))
+
+
+def test_change_under_way_is_abandoned_when_demand_turns_back() -> None:
+    balancer = balancer_of()
+    for step in range(1, 4):
+        feed(balancer, step, 400)
+    assert balancer.proposed is not None
+    outcomes: list = []
+    for step in range(4, 30):
+        outcomes += feed(balancer, step, 10)
+    assert balancing.AbandonMap() in outcomes
+
+
+def test_rank_that_never_reported_lets_nothing_move() -> None:
+    balancer = balancer_of()
+    for step in range(1, 10):
+        loads = {0: 400.0, 1: 10.0}
+        balancer.handle(Report(0, step, 51, loads), step)
+        assert not proposals(balancer.handle(balancing.Decide(), step))
+
+
+SMALL = replace(PROFILES[0], layers=1)
+
+
+@pytest.mark.parametrize('case', CASES, ids=lambda one: one.name)
+def test_policy_is_never_worse_than_a_static_map(case) -> None:
+    worst = {}
+    for policy in ('static', 'policy'):
+        run = Replay(make_demand(SMALL, case, 11), policy).play()
+        worst[policy] = sorted(run.skews)[int(0.95 * len(run.skews))]
+        if case.name == 'steady':
+            assert run.moved == 0
+    assert worst['policy'] <= worst['static']
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,202 @@
+"""Check configuration: faults, races, unclear writes, forward only."""
+
+import random
+import tomllib
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from comfreyarch_cli.parsing import check_files
+from comfreyarch_core.checking import check
+from comfreyarch_core.revisions import Delta, Follower
+from comfreyarch_daemon import publishing
+from comfreyarch_daemon.configuring import ConfigKeeper
+from comfreyarch_daemon.publishing import edit, publish, read_current
+from fake_store import FakeStore
+from standins.scenes import config_text
+
+GOOD = tomllib.loads(config_text(4, 2))
+
+
+def with_team(raw: dict, name: str, rate: float = 5) -> dict:
+    digest = f'{abs(hash(name)):064x}'[:64]
+    team = {'token_sha256': digest, 'rate': rate}
+    return {**raw, 'teams': {**raw.get('teams', {}), name: team}}
+
+
+def test_good_set_has_no_fault() -> None:
+    assert check(GOOD).faults == ()
+
+
+@pytest.mark.parametrize(
+    ('change', 'place'),
+    [
+        ({'model_groups': {'g': {'model': 'm'}}}, 'model_groups.g'),
+        ({'teams': {'t': {'token_sha256': 'x'}}}, 'teams.t'),
+        ({'teams': {'t': {'token_sha256': 'a' * 64, 'rat': 1}}}, 'teams.t'),
+        (
+            {'upstreams': {'u': {'group': 'none', 'availability_zone': 'z'}}},
+            'upstreams.u',
+        ),
+        ({'routes': {'r': {'group': 'none', 'prefix': '/x'}}}, 'routes.r'),
+        ({'stops': {'s': {'upstream': 'none'}}}, 'stops.s'),
+        ({'stops': {'s': {}}}, 'stops.s'),
+        ({'gadgets': {'x': {}}}, 'gadgets'),
+        ({'routes': {'r': 7}}, 'routes.r'),
+        (
+            {'expert_maps': {'m': {'experts': 3, 'placement': [[0]]}}},
+            'expert_maps.m',
+        ),
+    ],
+)
+def test_each_fault_names_its_object_and_a_remedy(
+    change: dict, place: str
+) -> None:
+    faults = check(change).faults
+    assert place in {fault.object for fault in faults}
+    assert all(fault.remedy for fault in faults)
+
+
+def test_all_faults_show_at_once_with_their_files(tmp_path) -> None:
+    (tmp_path / 'a.toml').write_text('[teams.t]\nrate = "x"\nbad = 1\n')
+    (tmp_path / 'b.toml').write_text('[teams.t]\n[routes.r]\n')
+    (tmp_path / 'c.toml').write_text('not toml')
+    _, checked = check_files([tmp_path])
+    shown = '\n'.join(map(str, checked.faults))
+    for text in (
+        'a.toml: teams.t.rate',
+        'bad',
+        'token_sha256',
+        'c.toml',
+        'b.toml',
+    ):
+        assert text in shown
+
+
+@settings(derandomize=True, max_examples=200)
+@given(
+    st.dictionaries(
+        st.sampled_from(['teams', 'routes', 'upstreams', 'stops', 'zzz']),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+            lambda inner: st.dictionaries(
+                st.text(max_size=5), inner, max_size=3
+            ),
+            max_leaves=8,
+        ),
+        max_size=4,
+    ),
+)
+def test_any_raw_set_gives_faults_and_no_exception(raw: dict) -> None:
+    check(raw)
+
+
+def test_revision_never_goes_back_whatever_comes() -> None:
+    source = random.Random(5)
+    deltas = [
+        Delta(number, f't{number}', {'teams': {f'n{number}': {}}}, {})
+        for number in range(1, 30)
+    ]
+    follower = Follower()
+    highest = 0
+    for _ in range(300):
+        base = source.randrange(0, 20)
+        snapshot = {'teams': {}} if source.random() < 0.2 else None
+        some = source.sample(deltas, source.randrange(0, 6))
+        follower.receive(base, snapshot, some)
+        assert follower.revision >= highest
+        highest = follower.revision
+    follower.receive(0, None, deltas)
+    assert follower.revision == 29
+
+
+def test_racing_publishers_one_wins_and_the_other_is_told() -> None:
+    store = FakeStore()
+    current = read_current(store)
+    first = publish(store, current, with_team({}, 'one'))
+    second = publish(store, current, with_team({}, 'two'))
+    assert isinstance(first, publishing.Published)
+    assert isinstance(second, publishing.Raced)
+    assert set(read_current(store).raw['teams']) == {'one'}
+
+
+def test_edits_that_race_all_take_effect() -> None:
+    store = FakeStore()
+    for number in range(70):
+        outcome = edit(store, lambda raw, n=number: with_team(raw, f't{n}'))
+        assert isinstance(outcome, publishing.Published)
+    assert len(read_current(store).raw['teams']) == 70
+
+
+def test_refused_set_changes_nothing() -> None:
+    store = FakeStore()
+    publish(store, read_current(store), GOOD)
+    before = read_current(store)
+    outcome = publish(store, before, {'teams': {'t': {}}})
+    assert isinstance(outcome, publishing.Refused)
+    assert read_current(store) == before
+
+
+@pytest.mark.parametrize('effect', [True, False])
+def test_unclear_publish_is_settled_by_its_token(effect: bool) -> None:
+    store = FakeStore()
+    current = read_current(store)
+    store.fates = ['lost answer' if effect else 'late']
+    if not effect:
+        store.on_read = store.release_late
+    outcome = publish(store, current, with_team({}, 'one'))
+    assert isinstance(outcome, publishing.Published)
+    assert read_current(store).revision == 1
+
+
+def test_unclear_publish_that_another_overtook_is_raced() -> None:
+    store = FakeStore()
+    current = read_current(store)
+    store.fates = ['lost']
+    other = with_team({}, 'two')
+    store.on_read = lambda: (
+        None if store.rows else publish(store, current, other)
+    )
+    outcome = publish(store, current, with_team({}, 'one'))
+    assert isinstance(outcome, publishing.Raced)
+
+
+def test_store_down_publishes_nothing() -> None:
+    store = FakeStore()
+    store.fates = ['down']
+    outcome = publish(store, read_current(store), with_team({}, 'one'))
+    assert isinstance(outcome, publishing.StoreDown)
+    assert store.rows == {}
+
+
+def test_new_node_starts_from_a_peer_while_the_store_is_down() -> None:
+    store = FakeStore()
+    for number in range(40):
+        edit(store, lambda raw, n=number: with_team(raw, f't{n}'))
+    old = ConfigKeeper(store, lambda _: None)
+    old.poll()
+    down = FakeStore()
+    down.up = False
+    fresh = ConfigKeeper(down, lambda _: None)
+    assert not fresh.try_poll()
+    from comfreyarch_core import frames
+
+    fresh.pushed(old.answer(frames.Pull(0)))
+    assert fresh.revision() == 40
+    assert len(fresh.follower.config.teams) == 40
+
+
+def test_node_follows_by_deltas_and_by_snapshot() -> None:
+    store = FakeStore()
+    seen: list[int] = []
+    keeper = ConfigKeeper(store, lambda one: seen.append(one.revision))
+    for number in range(40):
+        edit(store, lambda raw, n=number: with_team(raw, f't{n}'))
+        if number % 7 == 0:
+            keeper.poll()
+    keeper.poll()
+    late = ConfigKeeper(store, lambda _: None)
+    late.poll()
+    assert keeper.follower.raw == late.follower.raw
+    assert seen == sorted(seen)
--- a/tests/test_map_change.py
+++ b/tests/test_map_change.py
@@ -151,12 +151,14 @@
     propose(world)
     world.run(20)
     old = maps.Decide(0, 'ghost', maps.COMMIT)
-    status, _ = world.engines[0].order({
-        'order': 'outcome',
-        'fence': old.fence,
-        'change': old.change,
-        'outcome': old.outcome,
-    })
+    status, _ = world.engines[0].order(
+        {
+            'order': 'outcome',
+            'fence': old.fence,
+            'change': old.change,
+            'outcome': old.outcome,
+        }
+    )
     assert status == 409
 
 
