Tell the leader by the lease row; answer small writes at once; report burn

Cause of the group that stood still: a sidecar that had just restarted had had no order, knew no coordinator, and its report of the lost engine went nowhere. Ruled out: the coordinator (its log shows no report), the engine. It now goes by the lease row as well; a test restarts a sidecar and then kills its engine. Cause of 44 ms an answer on a kept-alive connection: the WSGI server writes head and body apart and the second write waited for the delayed acknowledgement.

--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,22 @@
+"""Run all benches, or those named."""
+
+import sys
+
+from bench import path, replay, slopes
+
+BENCHES = {
+    'path': path.main,
+    'slopes': slopes.main,
+    'replay': replay.main,
+}
+
+
+def main() -> None:
+    """Run the benches named, all without a name."""
+    names = sys.argv[1:] or list(BENCHES)
+    sys.argv = sys.argv[:1]
+    for name in names:
+        BENCHES[name]()
+
+
+main()
--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,262 @@
+"""Measure the slopes that the capacity page is worked out from."""
+
+import json
+import random
+import tempfile
+import time
+from functools import partial
+from pathlib import Path
+
+from bench.demand import PROFILES
+from bench.lines import emit
+from bench.processes import cpu_s, resident_mb, timed
+from comfreyarch_core import frames
+from comfreyarch_core.balancer import Balancer
+from comfreyarch_core.checking import RawSet, check
+from comfreyarch_core.coordinator import Propose, ToRank, make_coordinator
+from comfreyarch_core.limits import Demand, Home
+from comfreyarch_core.loads import Report, make_estimator
+from comfreyarch_core.mapmessages import (
+    Decided,
+    Prepared,
+    Promised,
+    RankState,
+)
+from comfreyarch_core.revisions import Delta, Follower
+from comfreyarch_core.routing import Peer, choose_subset, make_router
+from comfreyarch_daemon.codec import decode, encode
+from standins.launcher import KEY, Fleet, free_port, hash_of, http, wait_until
+from standins.scenes import run_cli
+
+IDLE_S = 15.0
+LINKS = (8, 32, 96)
+TEAMS = (10, 100, 700)
+UPSTREAMS = (16, 160, 710)
+RANKS = (4, 16, 64)
+US = 1_000_000
+MS = 1000
+
+
+def measure_frames() -> None:
+    """Measure bytes and processor time of the control frames."""
+    beat = frames.Beat('side-x', 'f' * 16, 12345, queued=3, running=7, slots=16)
+    for name, frame in (
+        ('heartbeat', beat),
+        ('share ask', frames.ShareAsk('team-name', 3.5, 4)),
+    ):
+        packed = encode([frame])
+        emit('slopes', name, 'size', 'bytes', len(packed))
+        spent = timed(partial(encode, [frame]), 5000)
+        emit('slopes', name, 'writing', 'us', spent * US)
+        spent = timed(partial(decode, packed), 5000)
+        emit('slopes', name, 'reading', 'us', spent * US)
+
+
+def raw_set(teams: int, upstreams: int) -> RawSet:
+    """Make a configuration of a size."""
+    return {
+        'service_groups': {'g': {}},
+        'teams': {
+            f'team-{number}': {'token_sha256': hash_of(f'team-{number}')}
+            for number in range(teams)
+        },
+        'upstreams': {
+            f'up-{number}': {'group': 'g', 'availability_zone': 'z'}
+            for number in range(upstreams)
+        },
+    }
+
+
+def measure_configuration() -> None:
+    """Measure a change's processor time over the size of the set."""
+    for teams, upstreams in zip(TEAMS, UPSTREAMS, strict=True):
+        raw = raw_set(teams, upstreams)
+        size = f'{teams} teams, {upstreams} upstreams'
+        emit('slopes', size, 'set', 'bytes', len(json.dumps(raw)))
+        spent = timed(partial(check, raw), 5)
+        emit('slopes', size, 'check', 'ms', spent * MS)
+        follower = Follower()
+        follower.receive(1, raw, [])
+        change = partial(put_in_force, follower, raw)
+        spent = timed(change, 5)
+        emit('slopes', size, 'change put in force', 'ms', spent * MS)
+
+
+def put_in_force(follower: Follower, raw: RawSet) -> None:
+    """Take the next revision."""
+    puts: RawSet = {'teams': {'team-1': raw['teams']['team-1']}}
+    delta = Delta(follower.revision + 1, 't', puts, {})
+    follower.receive(0, None, [delta])
+
+
+def measure_routing() -> None:
+    """Measure a choice, and a subset, over the number of peers."""
+    for count in UPSTREAMS:
+        peers = [
+            Peer(f's{number}', f'u{number}', 'g', f'z{number % 10}')
+            for number in range(count)
+        ]
+        spent = timed(partial(choose_subset, 'e', 'z1', peers), 20)
+        emit('slopes', f'{count} peers', 'subset', 'ms', spent * MS)
+    for count in (4, 16, 64):
+        router = make_router(1)
+        router.know(
+            [Peer(f's{one}', f'u{one}', 'g', 'z') for one in range(count)]
+        )
+        for one in range(count):
+            router.heard(frames.Beat(f's{one}', 'i', 1, slots=4), 0)
+        spent = timed(partial(router.choose, 'g', 7, 0), 3000)
+        emit('slopes', f'subset of {count}', 'choice', 'us', spent * US)
+
+
+def measure_limits() -> None:
+    """Measure an ask at a home over the number of its children."""
+    for children in (4, 10, 34):
+        home = Home(1000, 1000)
+        ask = partial(ask_home, home, random.Random(1), children)
+        spent = timed(ask, 3000)
+        emit('slopes', f'{children} children', 'ask', 'us', spent * US)
+
+
+def ask_home(home: Home, source: random.Random, children: int) -> None:
+    """Let some child ask."""
+    child = f'e{source.randrange(children)}'
+    home.handle(child, Demand(source.random() * 90, 5), 0)
+
+
+def measure_coordinator() -> None:
+    """Measure messages of a change and the cost of reports."""
+    for ranks in RANKS:
+        placement = [[rank] for rank in range(ranks)]
+        leader = make_coordinator(1, ranks, placement)
+        sent = leader.start(0)
+        state = RankState(map_id='start', placement=placement)
+        for rank in range(ranks):
+            sent.extend(leader.handle(Promised(1, rank, state), 0))
+        takeover = sum(isinstance(one, ToRank) for one in sent)
+        sent = leader.handle(Propose('c', placement), 0)
+        for rank in range(ranks):
+            sent.extend(leader.handle(Prepared(1, rank, 'c'), 0))
+        for rank in range(ranks):
+            sent.extend(leader.handle(Decided(1, rank, 'c'), 0))
+        orders = sum(isinstance(one, ToRank) for one in sent)
+        size = f'{ranks} ranks'
+        emit('slopes', size, 'takeover, orders sent', 'messages', takeover)
+        emit('slopes', size, 'map change, orders sent', 'messages', orders)
+    measure_reports()
+
+
+def measure_reports() -> None:
+    """Measure a rank's report: bytes, and the coordinator's time."""
+    profile = PROFILES[2]
+    for layers in (1, 20, 60):
+        loads = {layer * 64 + 7: 12.345 for layer in range(layers)}
+        report = frames.RankReport('g', 7, 123456, 51.5, 12, loads, 'map/12')
+        packed = encode([report])
+        size = f'{layers} layers'
+        emit('slopes', size, 'rank report', 'bytes', len(packed))
+        spent = timed(partial(decode, packed), 500)
+        emit('slopes', size, 'rank report, reading', 'us', spent * US)
+        experts = layers * 64
+        placement = [
+            [layer * 64 + rank for layer in range(layers)] for rank in range(64)
+        ]
+        estimator = make_estimator(placement, experts, profile.costs())
+        limits = profile.limits()
+        balancer = Balancer(
+            estimator,
+            placement,
+            limits,
+            profile.price,
+            profile.costs(),
+        )
+        take = partial(take_report, balancer, loads)
+        spent = timed(take, 500)
+        emit('slopes', size, 'rank report, taking', 'us', spent * US)
+
+
+def take_report(balancer: Balancer, loads: dict[int, float]) -> None:
+    """Let a balancer take the next report."""
+    step = balancer.estimator.views[7].step + 1
+    balancer.handle(Report(7, step, 51.5, loads, 12), 0)
+
+
+def measure_links() -> None:
+    """Measure an idle entry over the number of its links."""
+    for count in LINKS:
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(Path(folder))
+            try:
+                measure_entry(fleet, count)
+            finally:
+                fleet.close()
+
+
+def measure_entry(fleet: Fleet, count: int) -> None:
+    """Start an entry with a number of idle peers and measure it."""
+    fleet.start_store()
+    ports = {f'side-{number}': free_port() for number in range(count)}
+    asked = json.dumps({'ports': ports, 'key': KEY})
+    fleet.start_process('peers', 'standins.peers', asked)
+    entries = [
+        {
+            'node': name,
+            'role': 'sidecar',
+            'link': f'127.0.0.1:{port}',
+            'operators': f'127.0.0.1:{port}',
+            'availability_zone': 'z',
+            'upstream': f'up-{name}',
+        }
+        for name, port in ports.items()
+    ]
+    http(fleet.store, 'POST', '/admin/instances', {'put': entries})
+    config = fleet.folder / 'config.toml'
+    lines = ['[service_groups.g]']
+    lines += [
+        f'[upstreams.up-{name}]\ngroup = "g"\navailability_zone = "z"'
+        for name in ports
+    ]
+    config.write_text('\n'.join(lines))
+    run_cli(fleet, 'publish', str(config))
+    node = fleet.add_node('entry-0', 'entry', 'z')
+    process = fleet.start_node(node)
+    wait_until(lambda: len(fleet.links(node)) >= count, 'all links', 60)
+    time.sleep(3)
+    pid = process.child.pid
+    cpu, sent = cpu_s(pid), link_bytes(node.operators)
+    began = time.monotonic()
+    time.sleep(IDLE_S)
+    passed = time.monotonic() - began
+    size = f'{count} links'
+    share = (cpu_s(pid) - cpu) / passed * 100
+    emit('slopes', size, 'idle entry, core', '%', share, 4.4)
+    rate = (link_bytes(node.operators) - sent) / passed / 1024
+    emit('slopes', size, 'idle entry, links', 'KB/s', rate, 15)
+    emit('slopes', size, 'idle entry, resident', 'MB', resident_mb(pid), 32)
+
+
+def link_bytes(operators: int) -> float:
+    """Sum the bytes sent and received on links.
+
+    :returns: bytes since the node started.
+    """
+    _, page = http(operators, 'GET', '/metrics')
+    return sum(
+        float(line.split()[1])
+        for line in page.decode().splitlines()
+        if line.startswith('comfreyarch_link_bytes')
+    )
+
+
+def main() -> None:
+    """Measure all."""
+    measure_frames()
+    measure_configuration()
+    measure_routing()
+    measure_limits()
+    measure_coordinator()
+    measure_links()
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -1,15 +1,17 @@
 """Define the commands of comfreyarch."""
 
 import sys
+from dataclasses import asdict
 from pathlib import Path
 from typing import Annotated, Any
 
 import typer
 
-from comfreyarch_cli import changes
+from comfreyarch_cli import changes, reports
 from comfreyarch_cli.access import list_instances, open_store, read_pages
 from comfreyarch_cli.errors import CommandError, Exit
 from comfreyarch_cli.output import print_json, print_line, print_table
+from comfreyarch_cli.pages import show_time, write_page
 from comfreyarch_daemon.claiming import CLAIM_TABLE
 from comfreyarch_daemon.store import StoreError
 
@@ -203,6 +205,43 @@
         )
 
 
+@app.command()
+def report(
+    store: StoreOption,
+    *,
+    html: Annotated[
+        Path | None,
+        typer.Option(help='Write one HTML page with plots to this file.'),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
+    """Show service-level burn and who waited, over all entries."""
+    summary = reports.gather(open_store(store))
+    if html is not None:
+        html.write_text(write_page(summary))
+        print_line(f'{html} written')
+        return
+    if as_json:
+        print_json([asdict(line) for line in summary.lines])
+        return
+    rows = [report_row(line) for line in summary.lines]
+    columns = ('group', 'team', '5 min', '1 h', '6 h', 'used up', 'wait p95')
+    print_table('Error budget burn', columns, rows)
+    for name in summary.missing:
+        print_line(f'no answer from {name}: figures are partial')
+
+
+def report_row(line: reports.Line) -> tuple[object, ...]:
+    """Make a row of the report.
+
+    :returns: one cell a column.
+    """
+    rates = [f'{one.rate:.2f}' for one in line.burns]
+    wait = '' if line.waits is None else f'{line.waits.p95:.0f} ms'
+    left = show_time(line.exhausted_s)
+    return (line.group, line.team, *rates, left, wait)
+
+
 def run() -> None:
     """Be the console script: errors become messages and exit codes."""
     try:
--- /dev/null
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/pages.py
@@ -0,0 +1,147 @@
+"""Write the report as one self-contained HTML page with plots."""
+
+import time
+from html import escape
+
+from pygal import Bar, Config, Line
+from pygal.style import Style
+
+from comfreyarch_cli.reports import Line as ReportLine
+from comfreyarch_cli.reports import Summary
+
+HOUR_S = 3600
+US_A_MS = 1000
+CURVE = (1, 5, 10, 25, 50, 75, 90, 95, 99)
+PAGE_STYLE = """
+body{font:15px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:62rem;
+color:#1c2733;background:#fff;padding:0 1rem}
+h1{font-size:1.5rem;margin-bottom:.2rem}h2{font-size:1.1rem;margin-top:2rem}
+table{border-collapse:collapse;width:100%}
+th,td{text-align:left;padding:.35rem .6rem;border-bottom:1px solid #dde4ea}
+td.n,th.n{text-align:right;font-variant-numeric:tabular-nums}
+.bad{color:#a3180f;font-weight:600}p.note{color:#55636f}
+figure{margin:1rem 0}svg{width:100%;height:auto}
+"""
+
+
+def write_page(summary: Summary) -> str:
+    """Write the whole page.
+
+    :returns: HTML.
+    """
+    at = time.strftime('%Y-%m-%d %H:%M:%S UTC', time.gmtime(summary.at))
+    parts = [
+        '<!doctype html><html lang="en"><meta charset="utf-8">',
+        f'<title>comfreyarch report</title><style>{PAGE_STYLE}</style>',
+        f'<h1>Service levels</h1><p class="note">{at}</p>',
+        missing_note(summary),
+        burn_table(summary),
+        '<h2>Who waited</h2>',
+        wait_plot(summary),
+        '<h2>Step time by rank</h2>',
+        *(rank_plot(name, page['times_ms']) for name, page in ranks(summary)),
+        '</html>',
+    ]
+    return '\n'.join(parts)
+
+
+def missing_note(summary: Summary) -> str:
+    """Tell which entries are missing from the report."""
+    if not summary.missing:
+        return ''
+    names = escape(', '.join(summary.missing))
+    return f'<p class="bad">No answer from {names}: figures are partial.</p>'
+
+
+def ranks(summary: Summary) -> list[tuple[str, dict[str, list[float]]]]:
+    """List the groups that told their rank times."""
+    return [
+        (name, page)
+        for name, page in summary.groups.items()
+        if page.get('times_ms')
+    ]
+
+
+def burn_table(summary: Summary) -> str:
+    """Write the table of burns and waits."""
+    head = (
+        '<h2>Error budget burn</h2><p class="note">1 spends the 30-day '
+        'budget in exactly 30 days.</p><table><tr><th>group<th>team'
+        '<th class="n">5 min<th class="n">1 h<th class="n">6 h'
+        '<th class="n">used up in<th class="n">wait p50<th class="n">p95'
+        '<th class="n">p99</tr>'
+    )
+    rows = ''.join(burn_row(line) for line in summary.lines)
+    return f'{head}{rows}</table>'
+
+
+def burn_row(line: ReportLine) -> str:
+    """Write one row of the table."""
+    cells = ''.join(
+        f'<td class="n{" bad" if one.rate > 1 else ""}">{one.rate:.2f}'
+        for one in line.burns
+    )
+    left = show_time(line.exhausted_s)
+    waits = '<td class="n">–' * 3
+    if line.waits is not None:
+        values = (line.waits.p50, line.waits.p95, line.waits.p99)
+        waits = ''.join(f'<td class="n">{one:.0f} ms' for one in values)
+    name = f'<td>{escape(line.group)}<td>{escape(line.team)}'
+    return f'<tr>{name}{cells}<td class="n">{left}{waits}</tr>'
+
+
+def show_time(seconds: float | None) -> str:
+    """Show a time to exhaustion.
+
+    :returns: hours, or ``never``.
+    """
+    if seconds is None:
+        return 'never'
+    return f'{seconds / HOUR_S:.0f} h'
+
+
+def chart_config(title: str) -> Config:
+    """Configure a plot: no scripts, nothing fetched."""
+    config = Config()
+    config.title = title
+    config.js = []
+    config.height = 320
+    config.legend_at_bottom = True
+    config.style = Style(
+        background='#fff',
+        plot_background='#fff',
+        font_family='system-ui,sans-serif',
+    )
+    return config
+
+
+def wait_plot(summary: Summary) -> str:
+    """Plot the wait of each team over the share of its answers."""
+    if not summary.histograms:
+        return '<p class="note">No answers yet.</p>'
+    chart = Line(chart_config('Wait in ms, by share of answers'))
+    chart.x_labels = [f'{share} %' for share in CURVE]
+    for name, histogram in sorted(summary.histograms.items()):
+        values = [
+            histogram.get_value_at_percentile(share) / US_A_MS
+            for share in CURVE
+        ]
+        chart.add(name, values)
+    return f'<figure>{render(chart)}</figure>'
+
+
+def rank_plot(group: str, times_ms: list[float]) -> str:
+    """Plot the predicted step time of each rank."""
+    chart = Bar(chart_config(f'{group}: predicted step time in ms'))
+    chart.x_labels = [str(rank) for rank in range(len(times_ms))]
+    chart.add('step time', [round(one, 2) for one in times_ms])
+    return f'<figure>{render(chart)}</figure>'
+
+
+def render(chart: Bar | Line) -> str:
+    """Render a plot for use inside a page.
+
+    :returns: an SVG element.
+    """
+    drawn: str = chart.render(is_unicode=True)
+    return drawn[drawn.index('<svg') :]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -12,6 +12,7 @@
 from comfreyarch_core.refusals import Kind, Refusal, not_run
 from comfreyarch_daemon.answering import Answering, GaveUp, Piece
 from comfreyarch_daemon.limiting import Limiter
+from comfreyarch_daemon.listening import open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.reporting import Outcomes
 from comfreyarch_daemon.requests import (
@@ -19,7 +20,6 @@
     CallerRequest,
     RequestReader,
 )
-from comfreyarch_daemon.settings import split_address
 
 REASONS = {
     200: 'OK',
@@ -73,7 +73,7 @@
         self.open_requests = 0
         self.stopping = False
         self.server = WSGIServer(
-            split_address(address),
+            open_listener(address),
             self.application,
             log=None,
             error_log=None,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
@@ -19,6 +19,7 @@
 from comfreyarch_daemon.node import Node
 from comfreyarch_daemon.ranking import Ranking, Seat
 from comfreyarch_daemon.store import Instance
+from comfreyarch_daemon.wire import Link
 
 REPORT_S = 5.0
 TO_RANK = (Promise, Prepare, Decide, NewEpoch, AskOutcome, TellOutcome)
@@ -28,7 +29,7 @@
     """Own the rank's and the leader's part of one sidecar."""
 
     __slots__ = (
-        'coordinator_node',
+        'leader',
         'leading',
         'node',
         'ranking',
@@ -44,7 +45,7 @@
         self.seat = seat
         self.share = 1.0
         self.upstreams: dict[int, str] = {}
-        self.coordinator_node = ''
+        self.leader = ''
         self.reported_at = float(0)
         self.ranking = Ranking(
             seat,
@@ -130,11 +131,11 @@
         self.send_frame(rank, frames.RankShare(self.seat.group, share))
 
     def reply(self, message: AnyMapMessage) -> None:
-        """Send a reply to the coordinator last heard."""
+        """Send a reply to the coordinator that the lease names."""
         if self.leading.coordinator is not None:
             self.take(self.node.me.node, message)
             return
-        link = self.node.links.get(self.coordinator_node)
+        link = self.coordinator_link()
         if link is not None:
             link.send(frames.MapFrame(self.seat.group, message))
 
@@ -144,9 +145,19 @@
             self.leading.tell(message)
             return
         if isinstance(message, Promise | Prepare | Decide | NewEpoch):
-            self.coordinator_node = sender
+            self.leader = sender
         self.ranking.handle(message)
 
+    def coordinator_link(self) -> Link | None:
+        """Find the link to the coordinator.
+
+        A sidecar that started lately has had no order yet; the lease row
+        tells it who leads.
+        """
+        holder = self.leading.keeper.row.holder.rpartition('/')[0]
+        name = self.leader or holder
+        return self.node.links.get(name) or self.node.links.get(holder)
+
     def report(self, _state: EngineState) -> None:
         """Report loads to the coordinator now and then."""
         now = time.monotonic()
@@ -159,7 +170,7 @@
         if self.leading.coordinator is not None:
             self.leading.report(report)
             return
-        link = self.node.links.get(self.coordinator_node)
+        link = self.coordinator_link()
         if link is not None:
             link.send(report)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
@@ -63,6 +63,18 @@
         log_change('stopped')
 
 
+def start_daemon(settings: Settings, key: bytes) -> Daemon:
+    """Start a daemon that a signal stops gracefully.
+
+    :raises OSError: if an address is taken.
+    """
+    daemon = Daemon(settings, key)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, gevent.spawn, daemon.stop_gracefully)
+    daemon.start()
+    return daemon
+
+
 @app.command()
 def main(
     settings: Annotated[
@@ -86,11 +98,8 @@
         typer.echo(f'{settings}: correct')
         return
     start_logs(read.node, read.log_level)
-    daemon = Daemon(read, key)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        gevent.signal_handler(number, gevent.spawn, daemon.stop_gracefully)
     try:
-        daemon.start()
+        daemon = start_daemon(read, key)
     except OSError as error:
         typer.echo(f'comfreyarchd: {error}; free the address', err=True)
         raise typer.Exit(EXIT_SETTINGS) from error
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
@@ -289,6 +289,16 @@
         self.pulled_at = now
         link.send(frames.Pull(self.configuration.revision()))
 
+    def link_bytes(self) -> int:
+        """Sum the bytes of the open links, both ways.
+
+        :returns: bytes; closed links no longer count.
+        """
+        return sum(
+            link.sent_bytes + link.received_bytes
+            for link in self.links.values()
+        )
+
     def send_beats(self) -> None:
         """Send life and load to all linked nodes; drop silent links."""
         beat = self.need_role().beat()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/operations.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/operations.py
@@ -6,8 +6,8 @@
 
 from gevent.pywsgi import WSGIServer
 
+from comfreyarch_daemon.listening import open_listener
 from comfreyarch_daemon.node import Node
-from comfreyarch_daemon.settings import split_address
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 JSON_TYPE = 'application/json'
@@ -46,7 +46,7 @@
             '/poll': self.poll,
         }
         self.server = WSGIServer(
-            split_address(node.settings.operators),
+            open_listener(node.settings.operators),
             self.application,
             log=None,
         )
@@ -93,6 +93,8 @@
 
     def metrics(self) -> tuple[str, str, bytes]:
         """Write the metrics as Prometheus text."""
+        self.node.metrics.gauge('link_bytes', self.node.link_bytes())
+        self.node.metrics.gauge('links', len(self.node.links))
         return OK, TEXT_TYPE, self.node.metrics.text()
 
     def status(self) -> tuple[str, str, bytes]:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -128,6 +128,7 @@
     make_reservations(fleet, score)
     repeats = count_repeats(fleet, score)
     say(run_cli(fleet, 'status'))
+    say(run_cli(fleet, 'report'))
     kinds = ', '.join(f'{count} {kind}' for kind, count in score.kinds.items())
     say(f'sent: {kinds}')
     say(
--- a/standins/http.py
+++ b/standins/http.py
@@ -10,6 +10,8 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from comfreyarch_daemon.listening import open_listener
+
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 Environ = dict[str, Any]
 Application = Callable[[Environ, StartResponse], Iterable[bytes]]
@@ -54,7 +56,7 @@
     :returns: the started server.
     """
     server = WSGIServer(
-        ('127.0.0.1', port),
+        open_listener(f'127.0.0.1:{port}'),
         application,
         log=None,
         error_log=None,
--- /dev/null
+++ b/standins/peers.py
@@ -0,0 +1,75 @@
+"""Stand in for many sidecars at once: links that beat and do nothing."""
+
+import json
+import sys
+
+import gevent
+
+from comfreyarch_core import frames
+from comfreyarch_daemon import wire
+from comfreyarch_daemon.metrics import Metrics
+from standins.http import run_for_ever
+
+BEAT_S = 1.0
+
+
+class IdlePeer:
+    """Accept links and send heartbeats on them."""
+
+    def __init__(self, name: str, port: int, key: bytes) -> None:
+        """Prepare to listen."""
+        self.name = name
+        self.links: list[wire.Link] = []
+        me = wire.Identity(name, 'sidecar', f'life-{name}', key, lambda: 1)
+        self.listener = wire.Listener(
+            f'127.0.0.1:{port}',
+            me,
+            Metrics(),
+            self.adopt,
+        )
+
+    def adopt(self, link: wire.Link) -> None:
+        """Keep a link open."""
+        self.links.append(link)
+        link.start(wire.ignore_frame, self.drop)
+
+    def drop(self, link: wire.Link) -> None:
+        """Forget a closed link."""
+        if link in self.links:
+            self.links.remove(link)
+
+    def start(self) -> None:
+        """Start listening and beating."""
+        self.listener.start()
+        gevent.spawn(self.loop)
+
+    def loop(self) -> None:
+        """Beat for ever."""
+        while True:
+            beat = frames.Beat(
+                self.name,
+                f'life-{self.name}',
+                1,
+                queued=3,
+                running=7,
+                slots=16,
+                wait_ms=12.25,
+                service_ms=50.5,
+                step_ms=48.75,
+                share=0.97,
+            )
+            for link in list(self.links):
+                link.send(beat)
+            gevent.sleep(BEAT_S)
+
+
+def main() -> None:
+    """Serve the peers named in the JSON given: name to port."""
+    asked = json.loads(sys.argv[1])
+    for name, port in asked['ports'].items():
+        IdlePeer(name, port, asked['key'].encode()).start()
+    run_for_ever()
+
+
+if __name__ == '__main__':
+    main()
--- a/standins/scenes.py
+++ b/standins/scenes.py
@@ -99,10 +99,15 @@
     return fleet
 
 
-def start_all(fleet: Fleet, ranks: int = 4, services: int = 2) -> None:
+def start_all(
+    fleet: Fleet,
+    ranks: int = 4,
+    services: int = 2,
+    slots: int = 16,
+) -> None:
     """Start all nodes, publish the configuration, wait until all serve."""
     config = fleet.folder / 'config.toml'
-    config.write_text(config_text(ranks, services))
+    config.write_text(config_text(ranks, services, slots=slots))
     for node in fleet.nodes.values():
         fleet.start_node(node)
     run_cli(fleet, 'publish', str(config))
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -168,6 +168,26 @@
     )
 
 
+def test_engine_death_beside_a_sidecar_that_just_restarted(
+    fleet: Fleet,
+) -> None:
+    """The sidecar has had no order yet and must still find the leader."""
+    rank = next(
+        number
+        for number in range(RANKS)
+        if leader(fleet) is not sidecar(fleet, f'redator-{number}')
+    )
+    sidecar(fleet, f'redator-{rank}').process.kill()
+    settle(fleet)
+    before = page_of(fleet.engines[rank], '/state')['epoch']
+    http(fleet.engines[rank], 'POST', '/control', {'die': True})
+    wait_until(
+        lambda: page_of(fleet.engines[rank], '/state')['epoch'] > before,
+        'a new epoch',
+    )
+    check_maps(fleet)
+
+
 def test_engine_death_starts_an_epoch_and_the_group_goes_on(
     fleet: Fleet,
 ) -> None:
