--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,11 +2,13 @@
 
 import sys
 
-from bench import path, replay, slopes
+from bench import overload, path, replay, routing, slopes
 
 BENCHES = {
     'path': path.main,
     'slopes': slopes.main,
+    'overload': overload.main,
+    'routing': routing.main,
     'replay': replay.main,
 }
 
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -181,8 +181,8 @@
             self.change(packed)
         for outcome in self.balancer.handle(Decide(), at):
             match outcome:
-                case Shares(shares) if self.policy != 'moves':
-                    self.spread = [one * REQUESTS_A_RANK for one in shares]
+                case Shares(shares):
+                    self.take_shares(shares)
                 case ProposeMap(plan) if self.policy in {'policy', 'moves'}:
                     self.change(plan.placement)
                     self.balancer.handle(ChangeEnded(committed=True), at)
@@ -191,12 +191,20 @@
                 case AbandonMap():
                     self.run.abandoned += 1
 
+    def take_shares(self, shares: tuple[float, ...]) -> None:
+        """Spread requests, where the policy may."""
+        if self.policy != 'moves':
+            self.spread = [one * REQUESTS_A_RANK for one in shares]
+
     def change(self, placement: Placement) -> None:
         """Put a map in force."""
         self.run.moved += count_loads(self.placement, placement)
         self.placement = placement
         self.map_id = f'map-{self.run.moved}'
-        self.balancer.handle(MapInForce(placement, self.map_id), 0)
+        in_force = MapInForce(placement, self.map_id)
+        for outcome in self.balancer.handle(in_force, 0):
+            if isinstance(outcome, Shares):
+                self.take_shares(outcome.shares)
 
 
 def compare(profile: Profile, case: Case) -> None:
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -88,6 +88,11 @@
     load = page.get('open_requests', '')
     if page['role'] == 'sidecar':
         load = f'{page["running"]} running, {page["queued"]} queued'
+        if page.get('leads'):
+            load = f'{load}, leads {page["group"]}'
+        if page.get('evacuation'):
+            moved = page['evacuation']
+            load = f'{load}, experts of stopping ranks: {moved}'
     state = 'yes' if page['ready'] else 'no'
     if page.get('leaving'):
         state = 'leaving'
--- a/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
@@ -102,7 +102,7 @@
             case MapInForce(placement, map_id):
                 self.placement = placement
                 self.estimator.moved(placement, map_id)
-                return []
+                return self.spread()
             case ChangeEnded(committed):
                 self.ended(committed=committed)
                 return []
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -16,6 +16,7 @@
 
 BEAT_TIMEOUT_S = 2.5
 AGE_PENALTY = 0.5
+REPORT_WEIGHT = 0.5
 PREFIX_BONUS_S = 0.15
 PREFIXES_KEPT = 4096
 DEFAULT_SERVICE_S = 0.05
@@ -105,6 +106,9 @@
     def predicted_wait_s(self, now: float) -> float:
         """Predict the wait of a new attempt here.
 
+        Reported work counts half, since much of it is done by now; what
+        was sent since counts whole, so that entries spread what they send.
+
         :returns: seconds, grown with the report's age.
         """
         beat = self.beat
@@ -112,7 +116,8 @@
             return BEAT_TIMEOUT_S
         slots = max(1, beat.slots)
         service_s = beat.service_ms / 1000 or DEFAULT_SERVICE_S
-        known = beat.queued + beat.running + self.sent_since
+        reported = beat.queued + beat.running
+        known = REPORT_WEIGHT * reported + self.sent_since
         ahead = max(known, self.in_flight)
         share = max(beat.share, LOWEST_SHARE)
         load = (ahead + 1) / slots * service_s / share
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
@@ -83,7 +83,12 @@
             for name, one in config.upstreams.items()
             if one.group == self.seat.group
         }
-        self.leading.configure(group, config.expert_maps[group.expert_map])
+        stopped = {stop.upstream for stop in config.stops.values()}
+        stopping = frozenset(
+            rank for rank, name in self.upstreams.items() if name in stopped
+        )
+        expert_map = config.expert_maps[group.expert_map]
+        self.leading.configure(group, expert_map, stopping)
 
     def node_of(self, rank: int) -> Instance | None:
         """Find the sidecar of a rank.
@@ -199,6 +204,7 @@
             'leads': coordinator is not None,
             'fence': self.ranking.desk.promised,
             'phase': coordinator.phase.value if coordinator else '',
+            'evacuation': self.leading.evacuation if coordinator else '',
         }
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
@@ -19,6 +19,7 @@
 )
 from comfreyarch_core.coordinator import Coordinator, make_coordinator
 from comfreyarch_core.costs import CostModel
+from comfreyarch_core.evacuation import Stuck, evacuate
 from comfreyarch_core.lease import LeaseKeeper, LeaseRow
 from comfreyarch_core.loads import Report, make_estimator
 from comfreyarch_core.mapmessages import COMMIT, AnyMapMessage, Placement
@@ -99,6 +100,7 @@
         'balancer',
         'coordinator',
         'decided_at',
+        'evacuation',
         'expert_map',
         'floor',
         'greenlet',
@@ -110,6 +112,7 @@
         'seat',
         'send',
         'send_share',
+        'stopping',
         'store',
         'writing',
     )
@@ -136,6 +139,8 @@
         self.greenlet: gevent.Greenlet | None = None
         self.writing = False
         self.number = 0
+        self.stopping: frozenset[int] = frozenset()
+        self.evacuation = ''
         self.map_id = ''
         self.decided_at = time.monotonic()
         self.send_share: Callable[[int, float], None] = ignore_share
@@ -149,10 +154,20 @@
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
 
-    def configure(self, group: ModelGroup, expert_map: ExpertMap) -> None:
-        """Take the group's configuration."""
+    def configure(
+        self,
+        group: ModelGroup,
+        expert_map: ExpertMap,
+        stopping: frozenset[int],
+    ) -> None:
+        """Take the group's configuration.
+
+        :param stopping: ranks whose upstream is to stop.
+        """
         self.group = group
         self.expert_map = expert_map
+        self.stopping = stopping
+        self.evacuation = ''
         if self.balancer is not None:
             former = self.balancer
             self.balancer = make_balancer(
@@ -162,6 +177,39 @@
                 self.map_id,
             )
             self.balancer.estimator = former.estimator
+            self.keep_free(self.balancer)
+
+    def keep_free(self, balancer: Balancer) -> None:
+        """Let the balancer put nothing on stopping ranks."""
+        capacity = tuple(
+            0 if rank in self.stopping else slots
+            for rank, slots in enumerate(balancer.limits.capacity)
+        )
+        balancer.limits = Limits(balancer.limits.experts_a_layer, capacity)
+
+    def evacuate(self, coordinator: Coordinator, balancer: Balancer) -> None:
+        """Move the experts of stopping ranks, or say why not."""
+        placement = balancer.placement
+        if not any(placement[rank] for rank in self.stopping):
+            self.evacuation = 'done' if self.stopping else ''
+            return
+        if coordinator.phase is not coordinating.Phase.steady:
+            return
+        loads = list(balancer.estimator.smoothed)
+        found = evacuate(placement, self.stopping, loads, balancer.limits)
+        if isinstance(found, Stuck):
+            self.evacuation = str(found)
+            return
+        self.evacuation = 'moving'
+        self.tell(coordinating.Propose(self.next_change(), found.placement))
+
+    def next_change(self) -> str:
+        """Name the next change.
+
+        :returns: a name that no other life or candidate uses.
+        """
+        self.number += 1
+        return f'{self.holder}/{self.number}'
 
     def loop(self) -> None:
         """Let time pass for lease, coordinator and balancer."""
@@ -280,6 +328,7 @@
                     outcome.placement,
                     outcome.map_id,
                 )
+                self.keep_free(self.balancer)
             return
         self.balance(MapInForce(outcome.placement, outcome.map_id))
 
@@ -304,9 +353,12 @@
         if self.balancer is None or now - self.decided_at < group.decide_s:
             return
         self.decided_at = now
-        self.balance(Decide())
+        if self.coordinator is not None:
+            self.evacuate(self.coordinator, self.balancer)
+        # A sidecar that restarted has forgotten its share.
         if self.balancer.shares:
             self.send_shares(self.balancer.shares)
+        self.balance(Decide())
 
     def balance(self, message: ChangeEnded | MapInForce | Decide) -> None:
         """Tell the balancer and carry out what it decides."""
@@ -314,8 +366,8 @@
             return
         for outcome in self.balancer.handle(message, time.monotonic()):
             match outcome:
-                case Shares():
-                    continue
+                case Shares(shares):
+                    self.send_shares(shares)
                 case ProposeMap(plan):
                     self.propose(plan)
                 case AbandonMap():
@@ -328,8 +380,7 @@
 
     def propose(self, plan: Plan) -> None:
         """Propose a planned map."""
-        self.number += 1
-        change = f'{self.holder}/{self.number}'
+        change = self.next_change()
         log_change(
             'map proposed',
             change=change,
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -15,6 +15,7 @@
     rank_times,
     spread_requests,
 )
+from comfreyarch_core.evacuation import Evacuated, Stuck, evacuate
 from comfreyarch_core.loads import Report, make_estimator
 from comfreyarch_core.moves import (
     Limits,
@@ -185,6 +186,35 @@
     assert balancing.AbandonMap() in outcomes
 
 
+def test_new_map_spreads_requests_anew_at_once() -> None:
+    """Shares of the former map made the next interval the worst of all."""
+    balancer = balancer_of()
+    for step in range(1, 4):
+        feed(balancer, step, 400)
+    plan = balancer.proposed
+    former = balancer.shares
+    outcomes = balancer.handle(
+        balancing.MapInForce(plan.placement, 'next'),
+        4,
+    )
+    assert isinstance(outcomes[0], balancing.Shares)
+    assert outcomes[0].shares != former
+
+
+def test_stopping_rank_is_emptied_into_free_slots() -> None:
+    limits = Limits(8, (3, 3, 2, 2))
+    found = evacuate(PLACEMENT, {3}, [1.0] * 8, limits)
+    assert isinstance(found, Evacuated)
+    assert found.placement[3] == []
+    assert {one for held in found.placement for one in held} == set(range(8))
+
+
+def test_stopping_rank_without_room_elsewhere_is_explained() -> None:
+    found = evacuate(PLACEMENT, {3}, [1.0] * 8, LIMITS)
+    assert isinstance(found, Stuck)
+    assert 'spare slots' in str(found)
+
+
 def test_rank_that_never_reported_lets_nothing_move() -> None:
     balancer = balancer_of()
     for step in range(1, 10):
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -409,6 +409,16 @@
     for number, stream in enumerate(streams):
         body = stream.rest()
         assert body == calling.expected(f'stop{number}', 300, stream=True)
+    wait_until(
+        lambda: any(
+            status(one).get('evacuation') == 'done'
+            for one in fleet.nodes.values()
+        ),
+        'the experts to move off the stopping rank',
+    )
+    rank = int(name.rsplit('-', 1)[1])
+    assert page_of(fleet.engines[0], '/state')['placement'][rank] == []
+    check_maps(fleet)
     run_cli(fleet, 'resume', name)
     wait_until(lambda: status(node)['ready'], 'the sidecar to be back')
 
