--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -17,7 +17,7 @@
     make_admission,
 )
 from comfreyarch_core.frames import Beat
-from comfreyarch_core.routing import Peer, Router, View, make_router
+from comfreyarch_core.routing import Peer, View, make_router
 
 SERVICE_S = 0.1
 PREFILL_S = 0.15
@@ -115,7 +115,7 @@
             router.know(peers)
         self.queue: list[tuple[float, int, Callable[[float], None]]] = []
         self.counter = itertools.count()
-        self.turns = itertools.count()
+        self.turns = [itertools.count(one) for one in range(scene.entries)]
         self.requests: dict[str, Request] = {}
         self.totals = Totals()
         self.measured_at = -NEVER
@@ -181,11 +181,11 @@
     def offer(self, request: Request, now: float) -> None:
         """Send a request where the policy says."""
         router = self.routers[request.entry]
-        view = self.choose(router, request.prefix, now)
+        view = self.choose(request.entry, request.prefix, now)
         if view is None:
             self.totals.refused += 1
             return
-        router.sent(view, request.prefix, now)
+        router.sent(view)
         number = int(view.peer.node[1:])
         deadline = NEVER
         if self.scene.shed:
@@ -194,12 +194,13 @@
         server = self.servers[number]
         self.act(number, server.admission.handle(offer, now), now)
 
-    def choose(self, router: Router, prefix: int, now: float) -> View | None:
+    def choose(self, entry: int, prefix: int, now: float) -> View | None:
         """Choose by the scene's policy."""
+        router = self.routers[entry]
         views = list(router.views.values())
         match self.scene.policy:
             case 'round robin':
-                return views[next(self.turns) % len(views)]
+                return views[next(self.turns[entry]) % len(views)]
             case 'random':
                 return self.source.choice(views)
             case 'least in flight':
--- a/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
@@ -20,7 +20,7 @@
 from comfreyarch_core.moves import Limits, Plan, Price, plan_moves
 
 CONFIRMATIONS = 3
-MIN_GAIN_SHARE = 0.004
+MIN_GAIN_SHARE = 0.01
 ABANDON_SHARE = 0.5
 COOL_DOWN_DECISIONS = 2
 SPREAD_GAIN_SHARE = 0.01
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -1,11 +1,12 @@
 """Choose the sidecar for an attempt from what an entry believes.
 
 An entry keeps links to a subset of the sidecars of each group, found by
-rendezvous hashing, its own availability zone first. Of two candidates
-drawn at random it takes the one with the lower predicted wait; a prompt
-prefix that a candidate has served lately counts in its favour.
+rendezvous hashing, its own availability zone first. It takes the one with
+the lowest predicted wait among two drawn at random and the two that a
+prompt's prefix hashes to, which count as warm.
 """
 
+import heapq
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
@@ -18,10 +19,10 @@
 AGE_PENALTY = 0.5
 REPORT_WEIGHT = 0.5
 PREFIX_BONUS_S = 0.15
-PREFIXES_KEPT = 4096
 DEFAULT_SERVICE_S = 0.05
 SUBSET_SIZE = 16
 CHOICES = 2
+NEAR = 2
 LOWEST_SHARE = 0.05
 NOBODY: frozenset[str] = frozenset()
 
@@ -88,7 +89,6 @@
     heard_at: float = 0
     in_flight: int = 0
     sent_since: int = 0
-    prefixes: dict[int, float] = field(default_factory=dict)
     refused_until: float = 0
 
     def alive(self, now: float) -> bool:
@@ -203,29 +203,35 @@
         if not live:
             return None
         drawn = self.source.sample(live, min(CHOICES, len(live)))
-        warm = self.warm(live, prefix)
-        if warm is not None:
-            drawn.append(warm)
-        return min(drawn, key=lambda view: self.price(view, prefix, now))
+        near = self.near(live, prefix)
+        return min(
+            [*near, *drawn],
+            key=lambda view: self.price(view, near, now),
+        )
 
-    def warm(self, live: list[View], prefix: int) -> View | None:
-        """Find the candidate that served a prefix last.
+    def near(self, live: list[View], prefix: int) -> list[View]:
+        """Find the candidates that are likely to hold a prefix.
 
-        :returns: the view, or None.
+        All entries find the same ones by rendezvous hashing, so that a
+        prefix stays warm in few places without a word between them.
+
+        :returns: a few views, none without a prefix.
         """
         if not prefix:
-            return None
-        known = [view for view in live if prefix in view.prefixes]
-        if not known:
-            return None
-        return max(known, key=lambda view: view.prefixes[prefix])
-
-    def price(self, view: View, prefix: int, now: float) -> float:
+            return []
+        key = str(prefix)
+        return heapq.nlargest(
+            NEAR,
+            live,
+            key=lambda view: score(view.peer.node, key),
+        )
+
+    def price(self, view: View, near: list[View], now: float) -> float:
         """Price a candidate in seconds.
 
         :returns: the predicted wait less the bonus of a warm prefix.
         """
-        bonus = PREFIX_BONUS_S if prefix in view.prefixes else 0
+        bonus = PREFIX_BONUS_S if view in near else 0
         return view.predicted_wait_s(now) - bonus
 
     def choose_keyed(
@@ -244,16 +250,10 @@
             return None
         return max(live, key=lambda view: score(view.peer.upstream, key))
 
-    def sent(self, view: View, prefix: int, now: float) -> None:
+    def sent(self, view: View) -> None:
         """Count an attempt sent."""
         view.in_flight += 1
         view.sent_since += 1
-        if not prefix:
-            return
-        view.prefixes.pop(prefix, None)
-        view.prefixes[prefix] = now
-        if len(view.prefixes) > PREFIXES_KEPT:
-            view.prefixes.pop(next(iter(view.prefixes)))
 
     def done(self, view: View) -> None:
         """Count an attempt over."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/answering.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/answering.py
@@ -223,7 +223,7 @@
         attempt = f'{self.prefix}.{next(self.counter)}'
         mailbox = Mailbox(link)
         self.mailboxes[attempt] = mailbox
-        self.router.sent(view, progress.request.prefix, time.monotonic())
+        self.router.sent(view)
         ended: AttemptEnd | None = None
         try:
             link.send(make_call(attempt, progress))
