--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -2,10 +2,11 @@
 
 import sys
 
-from bench import overload, path, replay, routing, slopes
+from bench import events, overload, path, replay, routing, slopes
 
 BENCHES = {
     'path': path.main,
+    'events': events.main,
     'slopes': slopes.main,
     'overload': overload.main,
     'routing': routing.main,
--- /dev/null
+++ b/bench/events.py
@@ -0,0 +1,185 @@
+"""Time what operators wait for: publish, planned stop, death."""
+
+import re
+import tempfile
+import time
+from collections.abc import Callable
+from functools import partial
+from pathlib import Path
+
+import gevent
+
+from bench.lines import emit
+from standins import calling
+from standins.launcher import Fleet, NodeAt, fetch, http
+from standins.scenes import make_fleet, run_cli, start_all
+
+TEAM = 'estudantes'
+ROUNDS = 3
+CALLERS = 12
+WATCH_S = 12.0
+RANKS = 3
+
+
+def wait_for(condition: Callable[[], bool], limit_s: float) -> float:
+    """Wait for an event.
+
+    :returns: the seconds it took, the limit if it did not come.
+    """
+    began = time.monotonic()
+    while not condition() and time.monotonic() - began < limit_s:
+        gevent.sleep(0.01)
+    return time.monotonic() - began
+
+
+def in_force(fleet: Fleet, revision: int) -> bool:
+    """Tell whether all nodes hold a revision."""
+    return all(
+        fetch(node.operators, '/status').get('revision', 0) >= revision
+        for node in fleet.nodes.values()
+    )
+
+
+def handed_over(node: NodeAt) -> float:
+    """Count the attempts that a sidecar handed to its upstream."""
+    _, page = http(node.operators, 'GET', '/metrics')
+    found = re.search(rb'handed_over_total (\S+)', page)
+    return float(found.group(1)) if found else 0
+
+
+class Load:
+    """Keep callers asking and count what they get."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Start the callers."""
+        self.fleet = fleet
+        self.good = 0
+        self.wrong = 0
+        self.refused = 0
+        self.going = True
+        self.jobs = [gevent.spawn(self.ask, one) for one in range(CALLERS)]
+
+    def ask(self, number: int) -> None:
+        """Ask again and again."""
+        entries = [
+            node for node in self.fleet.nodes.values() if node.role == 'entry'
+        ]
+        while self.going:
+            port = entries[number % len(entries)].callers
+            reply = calling.chat(port, TEAM, f'load{number}', 6, stream=True)
+            if reply.status != 200:
+                self.refused += 1
+                gevent.sleep(0.05)
+            elif reply.body == calling.expected(
+                f'load{number}', 6, stream=True
+            ):
+                self.good += 1
+            else:
+                self.wrong += 1
+
+    def close(self) -> None:
+        """Stop the callers."""
+        self.going = False
+        gevent.joinall(self.jobs)
+
+
+def last_change(node: NodeAt, length_s: float) -> float:
+    """Watch a sidecar's hand-overs.
+
+    :returns: seconds until the last one seen.
+    """
+    began = time.monotonic()
+    seen = handed_over(node)
+    last = 0.0
+    while time.monotonic() - began < length_s:
+        now = handed_over(node)
+        if now != seen:
+            seen = now
+            last = time.monotonic() - began
+        gevent.sleep(0.01)
+    return last
+
+
+def unlinked(fleet: Fleet, entries: list[NodeAt], name: str) -> bool:
+    """Tell whether no entry has a link to a node."""
+    return all(name not in fleet.links(one) for one in entries)
+
+
+def measure_publish(fleet: Fleet) -> None:
+    """Time a publish until all nodes hold it."""
+    path = fleet.folder / 'config.toml'
+    text = path.read_text()
+    took: list[float] = []
+    for number in range(ROUNDS):
+        changed = text.replace('rate = 2000', f'rate = {1900 + number}')
+        path.write_text(changed)
+        before = fetch(fleet.nodes['entry-0'].operators, '/status')['revision']
+        began = time.monotonic()
+        job = gevent.spawn(run_cli, fleet, 'publish', str(path))
+        wait_for(partial(in_force, fleet, before + 1), 20)
+        took.append(time.monotonic() - began)
+        job.join()
+    emit('events', 'publish', 'command to in force', 's', max(took), 10)
+
+
+def measure_stop(fleet: Fleet, load: Load) -> None:
+    """Time a planned stop until the last new work."""
+    node = fleet.nodes['side-redator-2']
+    job = gevent.spawn(run_cli, fleet, 'stop', 'upstream', 'redator-2')
+    took = last_change(node, 6)
+    job.join()
+    emit('events', 'planned stop', 'command to last new work', 's', took, 3)
+    run_cli(fleet, 'resume', 'redator-2')
+    refused = load.refused
+    emit('events', 'planned stop', 'refused to callers', 'answers', refused, 0)
+
+
+def measure_death(fleet: Fleet, load: Load) -> None:
+    """Kill and freeze a sidecar under load, and count what callers see."""
+    node = fleet.nodes['side-redator-1']
+    for fault in ('killed', 'frozen'):
+        gevent.sleep(2)
+        before = (load.good, load.wrong, load.refused)
+        process = node.process
+        if process is None:
+            return
+        if fault == 'killed':
+            process.kill()
+        else:
+            process.freeze()
+        entries = [one for one in fleet.nodes.values() if one.role == 'entry']
+        took = wait_for(partial(unlinked, fleet, entries, node.name), WATCH_S)
+        emit('events', fault, 'death to no new work', 's', took, 3)
+        gevent.sleep(4)
+        for name, count, former in zip(
+            ('whole', 'wrong', 'refused'),
+            (load.good, load.wrong, load.refused),
+            before,
+            strict=True,
+        ):
+            emit('events', fault, f'answers {name}', 'answers', count - former)
+        if fault == 'killed':
+            fleet.start_node(node)
+        else:
+            process.thaw()
+        fleet.wait_ready()
+
+
+def main() -> None:
+    """Measure on three ranks, two services, two entries."""
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = make_fleet(Path(folder), RANKS, 2, 2, 5)
+        try:
+            start_all(fleet, RANKS, 2)
+            measure_publish(fleet)
+            load = Load(fleet)
+            gevent.sleep(1)
+            measure_stop(fleet, load)
+            measure_death(fleet, load)
+            load.close()
+        finally:
+            fleet.close()
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
@@ -126,7 +126,10 @@
         tallies = (node_page.page or {}).get('tallies', {})
         for key, tally in tallies.items():
             parts.setdefault(key, []).append(tally)
-    targets = {one.group: one.target for one in config.objectives.values()}
+    targets = {
+        config.pool_of(objective.group): objective.target
+        for objective in config.objectives.values()
+    }
     lines = [
         make_line(name, merge(tallies), waits.get(name), targets)
         for name, tallies in parts.items()
--- a/packages/comfreyarch-core/src/comfreyarch_core/checking.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/checking.py
@@ -47,6 +47,15 @@
     stops: dict[str, objects.Stop] = field(default_factory=dict)
     quarantines: dict[str, objects.Quarantined] = field(default_factory=dict)
 
+    def pool_of(self, group: str) -> str:
+        """Name the pool that requests of a group are routed over.
+
+        :returns: the model, which several groups may serve, or the service
+            group itself.
+        """
+        model_group = self.model_groups.get(group)
+        return group if model_group is None else model_group.model
+
 
 @dataclass(frozen=True, slots=True)
 class Checked:
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -21,6 +21,8 @@
 PREFIX_BONUS_S = 0.15
 DEFAULT_SERVICE_S = 0.05
 SUBSET_SIZE = 16
+SMALLEST_SUBSET = 4
+LINKS_IN_ALL = 40
 CHOICES = 2
 NEAR = 2
 LOWEST_SHARE = 0.05
@@ -80,6 +82,15 @@
     return [*chosen, *far[: size - len(chosen)]]
 
 
+def subset_size(pools: int) -> int:
+    """Share the links that an entry may hold among its pools.
+
+    :returns: peers a pool.
+    """
+    fair = LINKS_IN_ALL // max(1, pools)
+    return max(SMALLEST_SUBSET, min(SUBSET_SIZE, fair))
+
+
 @dataclass(slots=True)
 class View:
     """Hold what an entry believes of one sidecar."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -7,7 +7,12 @@
 
 from comfreyarch_core import frames
 from comfreyarch_core.checking import ConfigSet
-from comfreyarch_core.routing import Peer, choose_subset, make_router
+from comfreyarch_core.routing import (
+    Peer,
+    choose_subset,
+    make_router,
+    subset_size,
+)
 from comfreyarch_daemon.answering import Answering
 from comfreyarch_daemon.callers import CallersServer
 from comfreyarch_daemon.limiting import Limiter, Place
@@ -20,7 +25,7 @@
 from comfreyarch_daemon.ticking import Ticker
 from comfreyarch_daemon.wire import Link
 
-RENEW_S = 1.0
+RENEW_S = 2.0
 DRAIN_CHECK_S = 0.05
 
 
@@ -131,26 +136,28 @@
             upstream = self.config.upstreams.get(one.upstream)
             if one.role != 'sidecar' or upstream is None:
                 continue
+            pool = self.config.pool_of(upstream.group)
             peer = Peer(
                 one.node,
                 one.upstream,
-                upstream.group,
+                pool,
                 one.availability_zone,
             )
-            groups.setdefault(upstream.group, []).append(peer)
-        chosen = [self.choose_group(peers) for peers in groups.values()]
+            groups.setdefault(pool, []).append(peer)
+        size = subset_size(len(groups))
+        chosen = [self.choose_group(peers, size) for peers in groups.values()]
         self.subset = [peer for peers in chosen for peer in peers]
         self.router.know(self.subset)
 
-    def choose_group(self, peers: list[Peer]) -> list[Peer]:
-        """Choose the subset of one group; keyed services need them all.
+    def choose_group(self, peers: list[Peer], size: int) -> list[Peer]:
+        """Choose the subset of one pool; keyed services need them all.
 
         :returns: the peers to link to.
         """
         if peers[0].group in self.config.service_groups:
             return peers
         zone = self.settings.availability_zone
-        return choose_subset(self.settings.node, zone, peers)
+        return choose_subset(self.settings.node, zone, peers, size)
 
     def wanted(self) -> list[Instance]:
         """Tell which instances to keep links to.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
@@ -30,6 +30,7 @@
 
 BEAT_S = 1.0
 LINK_TIMEOUT_S = 2.5
+ENTRY_PACE = 4
 DIAL_S = 0.25
 DIAL_BACKOFF_S = 1.0
 MIN_POLL_S = 1.0
@@ -68,6 +69,7 @@
 
     __slots__ = (
         'backoff',
+        'beats_sent',
         'configuration',
         'dialling',
         'instances',
@@ -109,6 +111,7 @@
         self.dialling: set[str] = set()
         self.pulled_at = float(0)
         self.store_up = True
+        self.beats_sent = 0
         self.role: Role | None = None
         self.listener = Listener(
             settings.link,
@@ -302,9 +305,19 @@
     def send_beats(self) -> None:
         """Send life and load to all linked nodes; drop silent links."""
         beat = self.need_role().beat()
-        silent = self.now() - LINK_TIMEOUT_S
+        self.beats_sent += 1
+        now = self.now()
         for link in list(self.links.values()):
-            if link.heard_at < silent:
+            pace = self.pace_of(link)
+            if now - link.heard_at > LINK_TIMEOUT_S * pace:
                 link.fail('silent')
-            else:
+            elif self.beats_sent % pace == 0:
                 link.send(beat)
+
+    def pace_of(self, link: Link) -> int:
+        """Tell which of the beats go out on a link.
+
+        :returns: 1 for every beat; entries need one another's life less.
+        """
+        both = {link.remote.role, self.me.role}
+        return ENTRY_PACE if both == {'entry'} else 1
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
@@ -28,7 +28,8 @@
     def advanced(self, config: ConfigSet) -> None:
         """Take the objectives of a new configuration."""
         self.within = {
-            one.group: one.within_s for one in config.objectives.values()
+            config.pool_of(one.group): one.within_s
+            for one in config.objectives.values()
         }
 
     def first(self, request: CallerRequest, began: float) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
@@ -43,7 +43,8 @@
 
     ``deadline`` and ``began`` are times of the monotonic clock; ``key`` is empty where
     the request may be repeated; ``prefix`` hashes the prompt's beginning;
-    ``digest`` is the SHA-256 of group, method, path and body.
+    ``group`` is the model, which several groups may serve, or the service
+    group; ``digest`` is the SHA-256 of group, method, path and body.
     """
 
     request: str
@@ -84,7 +85,7 @@
             team.token_sha256: name for name, team in config.teams.items()
         }
         self.group_by_model = {
-            group.model: name for name, group in config.model_groups.items()
+            group.model: group for group in config.model_groups.values()
         }
         self.routes = sorted(
             config.routes.values(),
@@ -132,11 +133,11 @@
         :raises BadRequest: if the body is no such request.
         """
         asked = read_chat(body)
-        group_name = self.group_by_model.get(str(asked.get('model')))
-        if group_name is None:
-            detail = f'model {asked.get("model")!r}'
+        model = str(asked.get('model'))
+        group = self.group_by_model.get(model)
+        if group is None:
+            detail = f'model {model!r}'
             raise BadRequest(not_run(Kind.unknown_route, detail=detail))
-        group = self.config.model_groups[group_name]
         tokens = asked.get('max_tokens', DEFAULT_MAX_TOKENS)
         if not isinstance(tokens, int) or tokens < 1:
             raise BadRequest(not_run(Kind.bad_request, detail='max_tokens'))
@@ -145,14 +146,14 @@
             request=identity(environ),
             team=team_name,
             weight=team.weight,
-            group=group_name,
+            group=model,
             method='POST',
             path=CHAT_PATH,
             headers={'content-type': 'application/json'},
             body=body,
             deadline=deadline(environ),
             began=time.monotonic(),
-            digest=digest(group_name, 'POST', CHAT_PATH, body),
+            digest=digest(model, 'POST', CHAT_PATH, body),
             stream=bool(asked.get('stream')),
             resumable=group.resumable,
             prefix=xxhash.xxh3_64_intdigest(prompt.encode()),
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/store.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/store.py
@@ -16,6 +16,7 @@
 CONCURRENCY = 8
 HTTP_OK = 200
 HTTP_CONFLICT = 409
+HTTP_NOT_MODIFIED = 304
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
 
@@ -114,6 +115,8 @@
     reads: int = 0
     writes: int = 0
     headers: dict[str, str] = field(default_factory=dict)
+    list_tag: str = ''
+    listed: list[Instance] = field(default_factory=list)
 
     def transact(self, puts: list[Put]) -> WriteOutcome:
         """Write all puts or none.
@@ -179,12 +182,25 @@
         return read_rows(raw.get('rows'))
 
     def instances(self) -> list[Instance]:
-        """Read the instance list.
+        """Read the instance list; an unchanged one costs no body.
 
         :raises StoreError: if the list cannot be read.
         """
-        _, raw = self.fetch('/v1/instances')
-        return [Instance(**one) for one in raw['instances']]
+        self.reads += 1
+        headers = {'If-None-Match': self.list_tag} if self.list_tag else {}
+        try:
+            response = self.http.request('GET', '/v1/instances', '', headers)
+            content = bytes(response.read())
+        except (OSError, HTTPParseError) as error:
+            raise StoreError(f'{error}; ask again later') from error
+        status = int(response.status_code)
+        if status == HTTP_NOT_MODIFIED:
+            return self.listed
+        if status != HTTP_OK or not response.message_complete:
+            raise StoreError(f'status {status}; ask again later')
+        self.listed = read_instances(content)
+        self.list_tag = str(response.get('etag') or '')
+        return self.listed
 
     def fetch(self, path: str) -> tuple[int, dict[str, Any]]:
         """Read a path.
@@ -221,6 +237,18 @@
         self.http.close()
 
 
+def read_instances(content: bytes) -> list[Instance]:
+    """Read the instance list as the service writes it.
+
+    :raises StoreError: if it is written otherwise.
+    """
+    try:
+        listed = json.loads(content)['instances']
+        return [Instance(**one) for one in listed]
+    except (ValueError, KeyError, TypeError) as error:
+        raise StoreError(f'odd list: {error}; check the store') from error
+
+
 def read_rows(raw: Any) -> list[TableRow]:
     """Read rows as the service writes them.
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -4,11 +4,13 @@
 and writes all rows or none; ``expected`` is the version a row must have, 0
 for none. It answers 200 with the new versions or 409 with the rows that
 stood otherwise. ``GET /v1/rows/TABLE/KEY`` and ``GET /v1/rows/TABLE`` read.
+``GET /v1/instances`` lists instances, with an entity tag.
 ``POST /faults`` sets the fault: ``none``, ``refuse`` (503), ``hang``,
 ``lose`` (takes effect, closes without an answer), with ``delay_s`` and
 ``count`` of transactions it lasts.
 """
 
+import json
 import sys
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -88,6 +90,7 @@
         self.rows = Rows()
         self.instances: dict[str, dict[str, Any]] = {}
         self.fault = Fault()
+        self.list_version = 0
 
     def application(
         self,
@@ -128,10 +131,23 @@
                 cut(environ)
             return reply(start_response, content, status)
         if path == '/v1/instances':
-            listed = list(self.instances.values())
-            return reply(start_response, {'instances': listed})
+            return self.list_instances(environ, start_response)
         return self.read(environ, path, start_response)
 
+    def list_instances(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer with the list, or tell that it has not changed."""
+        tag = f'"{self.list_version}"'
+        if environ.get('HTTP_IF_NONE_MATCH') == tag:
+            start_response('304 Not Modified', [('ETag', tag)])
+            return []
+        body = json.dumps({'instances': list(self.instances.values())})
+        start_response('200 OK', [('ETag', tag)])
+        return [body.encode()]
+
     def take_fault(self, path: str, method: str) -> str:
         """Tell the fault for a request and count it."""
         fault = self.fault
@@ -167,6 +183,7 @@
 
     def change_instances(self, change: dict[str, Any]) -> None:
         """Put or remove entries of the instance list."""
+        self.list_version += 1
         for one in change.get('put', []):
             self.instances[one['node']] = one
         for node in change.get('remove', []):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -25,6 +25,19 @@
     return {**raw, 'teams': {**raw.get('teams', {}), name: team}}
 
 
+def test_groups_of_one_model_are_one_pool() -> None:
+    raw = {
+        **GOOD,
+        'model_groups': {
+            'redator': GOOD['model_groups']['redator'],
+            'redator-b': GOOD['model_groups']['redator'],
+        },
+    }
+    config = check(raw).config
+    assert config.pool_of('redator-b') == config.pool_of('redator') == 'redator'
+    assert config.pool_of('balcao') == 'balcao'
+
+
 def test_good_set_has_no_fault() -> None:
     assert check(GOOD).faults == ()
 
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -104,6 +104,24 @@
         client.instances()
 
 
+def test_unchanged_instance_list_is_not_sent_again(platform) -> None:
+    made, client = platform
+    assert client.instances() == []
+    one = {
+        'node': 'n',
+        'role': 'entry',
+        'link': 'l',
+        'operators': 'o',
+        'availability_zone': 'z',
+    }
+    made.change_instances({'put': [one]})
+    listed = client.instances()
+    assert [instance.node for instance in listed] == ['n']
+    assert client.instances() is listed
+    made.change_instances({'remove': ['n']})
+    assert client.instances() == []
+
+
 def test_store_that_is_not_there_did_nothing() -> None:
     client = make_store(f'http://127.0.0.1:{free_port()}', 0.5)
     assert isinstance(client.transact([]), Unavailable)
