--- a/bench/events.py
+++ b/bench/events.py
@@ -43,7 +43,7 @@
 def handed_over(node: NodeAt) -> float:
     """Count the attempts that a sidecar handed to its upstream."""
     _, page = http(node.operators, 'GET', '/metrics')
-    found = re.search(rb'handed_over_total (\S+)', page)
+    found = re.search(rb'\ncomfreyarch_handed_over_total (\S+)', page)
     return float(found.group(1)) if found else 0
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
@@ -30,7 +30,7 @@
 
 BEAT_S = 1.0
 LINK_TIMEOUT_S = 2.5
-ENTRY_PACE = 4
+PEER_PACE = 4
 DIAL_S = 0.25
 DIAL_BACKOFF_S = 1.0
 MIN_POLL_S = 1.0
@@ -198,8 +198,9 @@
         self.send_beats()
 
     def dial(self) -> None:
-        """Open the links that are wanted and missing."""
+        """Drop silent links, open those that are wanted and missing."""
         now = self.now()
+        self.drop_silent(now)
         for address in self.missing(now):
             self.dialling.add(address)
             gevent.spawn(self.dial_one, address)
@@ -303,21 +304,25 @@
         )
 
     def send_beats(self) -> None:
-        """Send life and load to all linked nodes; drop silent links."""
+        """Send life and load to all linked nodes."""
         beat = self.need_role().beat()
         self.beats_sent += 1
-        now = self.now()
         for link in list(self.links.values()):
-            pace = self.pace_of(link)
-            if now - link.heard_at > LINK_TIMEOUT_S * pace:
-                link.fail('silent')
-            elif self.beats_sent % pace == 0:
+            if self.beats_sent % self.pace_of(link) == 0:
                 link.send(beat)
 
+    def drop_silent(self, now: float) -> None:
+        """Close the links that nothing was heard on for too long."""
+        for link in list(self.links.values()):
+            if now - link.heard_at > LINK_TIMEOUT_S * self.pace_of(link):
+                link.fail('silent')
+
     def pace_of(self, link: Link) -> int:
         """Tell which of the beats go out on a link.
 
-        :returns: 1 for every beat; entries need one another's life less.
+        Work flows between entries and sidecars only; nodes of one role need
+        one another's life less.
+
+        :returns: 1 for every beat.
         """
-        both = {link.remote.role, self.me.role}
-        return ENTRY_PACE if both == {'entry'} else 1
+        return PEER_PACE if link.remote.role == self.me.role else 1
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -14,6 +14,7 @@
 
 import gevent
 from gevent import socket
+from gevent import subprocess as cooperative
 from geventhttpclient import HTTPClient
 
 WAIT_S = 20.0
@@ -183,13 +184,14 @@
 
         :returns: what it printed.
         """
-        done = subprocess.run(
+        done = cooperative.run(
             [sys.executable, '-m', *arguments],
             check=True,
             capture_output=True,
             text=True,
         )
-        return done.stdout
+        printed: str = done.stdout
+        return printed
 
     def start_store(self) -> Process:
         """Start the platform's stand-in."""
