Split grown modules: messages apart from decisions, handshake from link

No behaviour changed. Claim, rank-desk and coordinator messages, the planner, the bounds, the handshake, the election and the attempts stand in modules of their own.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -26,6 +26,7 @@
     ProposeMap,
     Shares,
 )
+from comfreyarch_core.bounds import limit_ms
 from comfreyarch_core.costs import (
     CostModel,
     Picture,
@@ -35,7 +36,7 @@
 )
 from comfreyarch_core.loads import Report, make_estimator
 from comfreyarch_core.mapmessages import FIRST_MAP
-from comfreyarch_core.moves import limit_ms, pack
+from comfreyarch_core.planning import pack
 
 SEED = 11
 EXPERT_BYTES = 50_000_000
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -13,7 +13,8 @@
 from comfreyarch_core import frames
 from comfreyarch_core.balancer import Balancer
 from comfreyarch_core.checking import RawSet, check
-from comfreyarch_core.coordinator import Propose, ToRank, make_coordinator
+from comfreyarch_core.coordination import Propose, ToRank
+from comfreyarch_core.coordinator import make_coordinator
 from comfreyarch_core.limits import Demand, Home
 from comfreyarch_core.loads import Report, make_estimator
 from comfreyarch_core.mapmessages import (
--- a/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/balancer.py
@@ -17,7 +17,8 @@
 )
 from comfreyarch_core.loads import LoadEstimator, Report
 from comfreyarch_core.mapmessages import FIRST_MAP
-from comfreyarch_core.moves import Limits, Plan, Price, plan_moves
+from comfreyarch_core.moves import Limits, Plan, Price
+from comfreyarch_core.planning import plan_moves
 
 CONFIRMATIONS = 3
 MIN_GAIN_SHARE = 0.01
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -10,7 +10,8 @@
 
 from comfreyarch_core.following import Begin, Deliver
 from comfreyarch_core.refusals import Kind, Refusal, not_run
-from comfreyarch_daemon.answering import Answering, GaveUp, Piece
+from comfreyarch_daemon.answering import Answering
+from comfreyarch_daemon.attempts import GaveUp, Piece
 from comfreyarch_daemon.limiting import Limiter
 from comfreyarch_daemon.listening import open_listener
 from comfreyarch_daemon.metrics import Metrics
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/claiming.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/claiming.py
@@ -7,8 +7,9 @@
 import gevent
 from gevent.event import Event
 
-from comfreyarch_core import claims
-from comfreyarch_core.claims import Answer, ClaimDesk, Row, RowState
+from comfreyarch_core import claimmessages
+from comfreyarch_core.claimmessages import Answer, Row, RowState
+from comfreyarch_core.claims import ClaimDesk
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.store import (
     Ambiguous,
@@ -90,7 +91,14 @@
         desk: ClaimDesk,
         store: StoreClient,
         metrics: Metrics,
-        act: Callable[[claims.HandOver | claims.Reply | claims.Reject], None],
+        act: Callable[
+            [
+                claimmessages.HandOver
+                | claimmessages.Reply
+                | claimmessages.Reject
+            ],
+            None,
+        ],
     ) -> None:
         """Prepare to drive ``desk``.
 
@@ -100,7 +108,7 @@
         self.store = store
         self.metrics = metrics
         self.act = act
-        self.pending: list[claims.Write] = []
+        self.pending: list[claimmessages.Write] = []
         self.wake = Event()
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -115,14 +123,14 @@
         """Stop writing; unsettled claims stay as they are."""
         gevent.killall(self.greenlets, block=False)
 
-    def handle(self, message: claims.Message) -> None:
+    def handle(self, message: claimmessages.Message) -> None:
         """Give the desk a message and carry out what it decides."""
         for outcome in self.desk.handle(message, 0):
             match outcome:
-                case claims.Write():
+                case claimmessages.Write():
                     self.pending.append(outcome)
                     self.wake.set()
-                case claims.Read(key):
+                case claimmessages.Read(key):
                     gevent.spawn(self.read, key)
                 case _:
                     self.act(outcome)
@@ -132,15 +140,15 @@
         try:
             row = self.store.read(CLAIM_TABLE, key)
         except StoreError:
-            self.handle(claims.Down(key))
+            self.handle(claimmessages.Down(key))
             return
-        self.handle(claims.Seen(key, row_from_table(row)))
+        self.handle(claimmessages.Seen(key, row_from_table(row)))
 
     def again_loop(self) -> None:
         """Let unsettled claims be tried again."""
         while True:
             gevent.sleep(AGAIN_S)
-            self.handle(claims.Again())
+            self.handle(claimmessages.Again())
 
     def write_loop(self) -> None:
         """Write whatever waits, as one transaction."""
@@ -152,7 +160,7 @@
                 self.pending = self.pending[BATCH:]
                 self.write(batch)
 
-    def write(self, batch: list[claims.Write]) -> None:
+    def write(self, batch: list[claimmessages.Write]) -> None:
         """Write a batch and tell the desk of each row."""
         puts = [
             Put(
@@ -172,25 +180,25 @@
         for write in batch:
             self.handle(to_message(write.key, outcome))
 
-    def clashed(self, batch: list[claims.Write], clash: Clash) -> None:
+    def clashed(self, batch: list[claimmessages.Write], clash: Clash) -> None:
         """Tell the desk of the rows that clashed, write the rest again."""
         rest = [write for write in batch if write.key not in clash.rows]
         self.pending = [*rest, *self.pending]
         self.wake.set()
         for key, row in clash.rows.items():
-            self.handle(claims.Conflict(key, row_from_table(row)))
+            self.handle(claimmessages.Conflict(key, row_from_table(row)))
 
 
-def to_message(key: str, outcome: WriteOutcome) -> claims.Message:
+def to_message(key: str, outcome: WriteOutcome) -> claimmessages.Message:
     """Turn a write's outcome into the desk's message.
 
     :returns: the message for one key.
     """
     match outcome:
         case Written(versions):
-            return claims.Committed(key, versions[key])
+            return claimmessages.Committed(key, versions[key])
         case Unavailable():
-            return claims.Down(key)
+            return claimmessages.Down(key)
         case Ambiguous():
-            return claims.Unclear(key)
-    return claims.Unclear(key)
+            return claimmessages.Unclear(key)
+    return claimmessages.Unclear(key)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
@@ -159,7 +159,7 @@
         A sidecar that started lately has had no order yet; the lease row
         tells it who leads.
         """
-        holder = self.leading.keeper.row.holder.rpartition('/')[0]
+        holder = self.leading.election.holder_node()
         name = self.leader or holder
         return self.node.links.get(name) or self.node.links.get(holder)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
@@ -6,8 +6,7 @@
 
 import gevent
 
-from comfreyarch_core import coordinator as coordinating
-from comfreyarch_core import frames, lease
+from comfreyarch_core import coordination, frames
 from comfreyarch_core.balancer import (
     AbandonMap,
     Balancer,
@@ -18,77 +17,23 @@
     Shares,
 )
 from comfreyarch_core.coordinator import Coordinator, make_coordinator
-from comfreyarch_core.costs import CostModel
 from comfreyarch_core.evacuation import Stuck, evacuate
-from comfreyarch_core.lease import LeaseKeeper, LeaseRow
-from comfreyarch_core.loads import Report, make_estimator
-from comfreyarch_core.mapmessages import COMMIT, AnyMapMessage, Placement
-from comfreyarch_core.moves import Limits, Plan, Price
+from comfreyarch_core.lease import LeaseKeeper
+from comfreyarch_core.loads import Report
+from comfreyarch_core.mapmessages import COMMIT, AnyMapMessage
+from comfreyarch_core.moves import Limits, Plan
 from comfreyarch_core.objects import ExpertMap, ModelGroup
+from comfreyarch_daemon.balancing import make_balancer
+from comfreyarch_daemon.leases import Election
 from comfreyarch_daemon.logs import log_change
 from comfreyarch_daemon.ranking import Seat
 from comfreyarch_daemon.store import (
-    Put,
     StoreClient,
-    StoreError,
-    TableRow,
-    Unavailable,
-    Written,
 )
 
-LEASE_TABLE = 'leases'
 TICK_S = 0.25
 
 
-def row_from(row: TableRow) -> LeaseRow:
-    """Read a lease row.
-
-    :returns: version 0 where there is none.
-    """
-    content = row.content
-    if content is None:
-        return LeaseRow()
-    return LeaseRow(
-        row.version,
-        content['holder'],
-        content['fence'],
-        content['beat'],
-    )
-
-
-def make_balancer(
-    group: ModelGroup,
-    expert_map: ExpertMap,
-    placement: Placement,
-    map_id: str,
-) -> Balancer:
-    """Make the balancer of a group from its configuration.
-
-    :returns: a balancer that has heard nobody.
-    """
-    costs = CostModel(group.base_ms, group.token_ms, group.request_ms)
-    own = max(len(held) for held in expert_map.placement)
-    slots = own // expert_map.layers + expert_map.spare_slots
-    limits = Limits(
-        expert_map.experts // expert_map.layers,
-        (slots,) * group.ranks,
-    )
-    budget = group.batch_bytes_a_s * group.decide_s / group.expert_bytes
-    price = Price(
-        group.skew_price,
-        group.move_price_ms,
-        group.horizon_steps,
-        max(1, min(group.moves_a_batch, int(budget))),
-    )
-    estimator = make_estimator(
-        placement,
-        expert_map.experts,
-        costs,
-        map_id,
-    )
-    return Balancer(estimator, placement, limits, price, costs)
-
-
 class Leading:
     """Be a candidate for the lead of one group.
 
@@ -100,21 +45,18 @@
         'balancer',
         'coordinator',
         'decided_at',
+        'election',
         'evacuation',
         'expert_map',
-        'floor',
         'greenlet',
         'group',
         'holder',
-        'keeper',
         'map_id',
         'number',
         'seat',
         'send',
         'send_share',
         'stopping',
-        'store',
-        'writing',
     )
 
     def __init__(
@@ -128,16 +70,20 @@
         """Prepare a candidate named ``holder``."""
         self.seat = seat
         self.holder = holder
-        self.store = store
         self.send = send
-        self.floor = floor
-        self.keeper = LeaseKeeper(holder, seat.rank)
+        self.election = Election(
+            seat.group,
+            LeaseKeeper(holder, seat.rank),
+            store,
+            floor,
+            self.lead,
+            self.follow,
+        )
         self.coordinator: Coordinator | None = None
         self.balancer: Balancer | None = None
         self.group: ModelGroup | None = None
         self.expert_map: ExpertMap | None = None
         self.greenlet: gevent.Greenlet | None = None
-        self.writing = False
         self.number = 0
         self.stopping: frozenset[int] = frozenset()
         self.evacuation = ''
@@ -193,7 +139,7 @@
         if not any(placement[rank] for rank in self.stopping):
             self.evacuation = 'done' if self.stopping else ''
             return
-        if coordinator.phase is not coordinating.Phase.steady:
+        if coordinator.phase is not coordination.Phase.steady:
             return
         loads = list(balancer.estimator.smoothed)
         found = evacuate(placement, self.stopping, loads, balancer.limits)
@@ -201,7 +147,7 @@
             self.evacuation = str(found)
             return
         self.evacuation = 'moving'
-        self.tell(coordinating.Propose(self.next_change(), found.placement))
+        self.tell(coordination.Propose(self.next_change(), found.placement))
 
     def next_change(self) -> str:
         """Name the next change.
@@ -217,55 +163,10 @@
             gevent.sleep(TICK_S)
             if self.group is None or self.expert_map is None:
                 continue
-            if not self.writing:
-                self.tell_lease(lease.Tick())
-            self.tell(coordinating.Tick())
+            self.election.tick()
+            self.tell(coordination.Tick())
             self.decide(self.group)
 
-    def tell_lease(self, message: lease.Message) -> None:
-        """Tell the lease keeper and carry out what it decides."""
-        for outcome in self.keeper.handle(message, time.monotonic()):
-            match outcome:
-                case lease.WriteRow():
-                    self.writing = True
-                    gevent.spawn(self.write_row, outcome)
-                case lease.ReadRow():
-                    self.writing = True
-                    gevent.spawn(self.read_row)
-                case lease.Lead(fence):
-                    self.lead(fence)
-                case lease.Follow(holder, fence):
-                    self.follow(holder, fence)
-
-    def write_row(self, write: lease.WriteRow) -> None:
-        """Write the lease row."""
-        row = write.row
-        content = {
-            'holder': row.holder,
-            'fence': row.fence,
-            'beat': row.beat,
-        }
-        put = Put(LEASE_TABLE, self.seat.group, write.expected, content)
-        outcome = self.store.transact([put])
-        self.writing = False
-        if isinstance(outcome, Written):
-            self.floor(row.fence)
-            self.tell_lease(lease.Took(row))
-        elif not isinstance(outcome, Unavailable):
-            self.tell_lease(lease.Missed())
-
-    def read_row(self) -> None:
-        """Read the lease row."""
-        try:
-            row = self.store.read(LEASE_TABLE, self.seat.group)
-        except StoreError:
-            self.writing = False
-            return
-        self.writing = False
-        seen = row_from(row)
-        self.floor(seen.fence)
-        self.tell_lease(lease.Saw(seen))
-
     def lead(self, fence: int) -> None:
         """Begin to coordinate."""
         expert_map = self.expert_map
@@ -291,26 +192,26 @@
         self.coordinator = None
         self.balancer = None
 
-    def tell(self, message: coordinating.Message) -> None:
+    def tell(self, message: coordination.Message) -> None:
         """Tell the coordinator and carry out what it decides."""
         if self.coordinator is not None:
             self.act(self.coordinator.handle(message, time.monotonic()))
 
-    def act(self, outcomes: list[coordinating.Outcome]) -> None:
+    def act(self, outcomes: list[coordination.Outcome]) -> None:
         """Carry out what the coordinator decided."""
         for outcome in outcomes:
             match outcome:
-                case coordinating.ToRank(rank, order):
+                case coordination.ToRank(rank, order):
                     self.send(rank, order)
-                case coordinating.Changed(change, ended):
+                case coordination.Changed(change, ended):
                     log_change('map change', change=change, outcome=ended)
                     self.balance(ChangeEnded(ended == COMMIT))
-                case coordinating.Stable():
+                case coordination.Stable():
                     self.stable(outcome)
-                case coordinating.Deposed(fence):
+                case coordination.Deposed(fence):
                     self.follow('another', fence)
 
-    def stable(self, outcome: coordinating.Stable) -> None:
+    def stable(self, outcome: coordination.Stable) -> None:
         """Take the map that all ranks agree on."""
         log_change(
             'map in force',
@@ -334,7 +235,7 @@
 
     def report(self, report: frames.RankReport) -> None:
         """Take a rank's report."""
-        self.tell(coordinating.StepSeen(report.step))
+        self.tell(coordination.StepSeen(report.step))
         if self.balancer is None:
             return
         taken = Report(
@@ -371,7 +272,7 @@
                 case ProposeMap(plan):
                     self.propose(plan)
                 case AbandonMap():
-                    self.tell(coordinating.Abandon())
+                    self.tell(coordination.Abandon())
 
     def send_shares(self, shares: tuple[float, ...]) -> None:
         """Send every rank its share of requests."""
@@ -387,7 +288,7 @@
             gain_ms=plan.gain_ms,
             loads=plan.loads,
         )
-        self.tell(coordinating.Propose(change, plan.placement))
+        self.tell(coordination.Propose(change, plan.placement))
 
     def explain(self) -> dict[str, Any]:
         """Tell what the balancer would do now, and why.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/node.py
@@ -3,16 +3,17 @@
 import random
 import secrets
 import time
-from typing import Protocol
 
 import gevent
 
 from comfreyarch_core import frames
-from comfreyarch_core.checking import ConfigSet
 from comfreyarch_core.revisions import Advanced
 from comfreyarch_daemon.configuring import ConfigKeeper
+from comfreyarch_daemon.handshake import Identity, open_link
+from comfreyarch_daemon.linking import Listener
 from comfreyarch_daemon.logs import log_change
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.roles import Role
 from comfreyarch_daemon.settings import Settings
 from comfreyarch_daemon.store import (
     Instance,
@@ -20,13 +21,7 @@
     make_store,
 )
 from comfreyarch_daemon.ticking import Ticker
-from comfreyarch_daemon.wire import (
-    Identity,
-    Link,
-    LinkError,
-    Listener,
-    open_link,
-)
+from comfreyarch_daemon.wire import Link, LinkError
 
 BEAT_S = 1.0
 LINK_TIMEOUT_S = 2.5
@@ -39,31 +34,6 @@
 INCARNATION_BYTES = 8
 
 
-class Role(Protocol):
-    """Be what a node does besides; entry and sidecar implement it."""
-
-    def advanced(self, config: ConfigSet) -> None:
-        """Take a new configuration."""
-
-    def listed(self, instances: list[Instance]) -> None:
-        """Take a new instance list."""
-
-    def wanted(self) -> list[Instance]:
-        """Tell which instances to keep links to."""
-
-    def frame(self, link: Link, frame: frames.AnyFrame) -> None:
-        """Take a frame that the node does not handle itself."""
-
-    def opened(self, link: Link) -> None:
-        """Take note of a new link."""
-
-    def lost(self, link: Link) -> None:
-        """Take note of a closed link."""
-
-    def beat(self) -> frames.Beat:
-        """Tell life and load."""
-
-
 class Node:
     """Keep links, configuration and instance list of one process."""
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranking.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranking.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.queue import SimpleQueue
 
-from comfreyarch_core import frames, rankdesk
+from comfreyarch_core import frames, rankmessages
 from comfreyarch_core.mapmessages import (
     PEERS_ASKED,
     AnyMapMessage,
@@ -86,17 +86,17 @@
         gevent.killall(self.greenlets, block=False)
         self.engine.close()
 
-    def handle(self, message: rankdesk.Message) -> None:
+    def handle(self, message: rankmessages.Message) -> None:
         """Give the desk a message and carry out what it decides."""
         for outcome in self.desk.handle(message, self.now()):
             match outcome:
-                case rankdesk.ToEngine(order):
+                case rankmessages.ToEngine(order):
                     self.orders.put(order)
-                case rankdesk.ToCoordinator(reply):
+                case rankmessages.ToCoordinator(reply):
                     self.reply(reply)
-                case rankdesk.ToPeers(ask):
+                case rankmessages.ToPeers(ask):
                     self.ask_peers(ask)
-                case rankdesk.ToPeer(rank, tell):
+                case rankmessages.ToPeer(rank, tell):
                     self.send(rank, tell)
 
     def ask_peers(self, ask: AskOutcome) -> None:
@@ -123,9 +123,9 @@
             try:
                 done, state = self.engine.give(order)
             except EngineSilent:
-                self.handle(rankdesk.EngineGone())
+                self.handle(rankmessages.EngineGone())
                 continue
-            self.handle(rankdesk.EngineDone(done, state.rank_state))
+            self.handle(rankmessages.EngineDone(done, state.rank_state))
 
     def look_loop(self) -> None:
         """Look at the engine again and again."""
@@ -140,14 +140,14 @@
         except EngineSilent:
             return
         self.last = state
-        self.handle(rankdesk.EngineSeen(state.rank_state))
-        self.handle(rankdesk.Tick())
+        self.handle(rankmessages.EngineSeen(state.rank_state))
+        self.handle(rankmessages.Tick())
         self.asking = bool(self.desk.state.open_change)
         self.reported(state)
 
     def floor(self, fence: int) -> None:
         """Take the fence of the lease row as the floor."""
-        self.handle(rankdesk.Floor(fence))
+        self.handle(rankmessages.Floor(fence))
 
     def report(self) -> frames.RankReport | None:
         """Make the report to the coordinator.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/relaying.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/relaying.py
@@ -5,7 +5,7 @@
 from geventhttpclient.response import HTTPSocketPoolResponse
 
 from comfreyarch_core import frames
-from comfreyarch_core.claims import Answer
+from comfreyarch_core.claimmessages import Answer
 from comfreyarch_daemon.upstreaming import (
     UpstreamCaller,
     head_of,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/serving.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/serving.py
@@ -4,9 +4,10 @@
 
 import gevent
 
-from comfreyarch_core import admission, claims, frames, suspects
+from comfreyarch_core import admission, claimmessages, frames, suspects
 from comfreyarch_core.admission import Admission
-from comfreyarch_core.claims import Answer, ClaimDesk
+from comfreyarch_core.claimmessages import Answer
+from comfreyarch_core.claims import ClaimDesk
 from comfreyarch_core.following import to_frame
 from comfreyarch_core.refusals import Kind, Refusal, not_run, unknown
 from comfreyarch_core.suspects import CrashDesk
@@ -81,7 +82,7 @@
             self.perform(self.admission.handle(admission.Tick(), now))
             for attempt, work in list(self.works.items()):
                 if work.call.key and work.deadline < now:
-                    self.claiming.handle(claims.GiveUp(attempt))
+                    self.claiming.handle(claimmessages.GiveUp(attempt))
 
     def take(self, link: Link, call: frames.Call) -> None:
         """Take a call from an entry."""
@@ -143,24 +144,28 @@
     def claim(self, work: Work) -> None:
         """Ask for the claim of a non-idempotent call."""
         call = work.call
-        self.claiming.handle(claims.Ask(call.attempt, call.key, work.digest))
+        self.claiming.handle(
+            claimmessages.Ask(call.attempt, call.key, work.digest)
+        )
 
     def claimed(
         self,
-        outcome: claims.HandOver | claims.Reply | claims.Reject,
+        outcome: claimmessages.HandOver
+        | claimmessages.Reply
+        | claimmessages.Reject,
     ) -> None:
         """Carry out what the claim desk decided."""
         work = self.works.get(outcome.attempt)
         match outcome:
-            case claims.HandOver(attempt):
+            case claimmessages.HandOver(attempt):
                 if work is None:
-                    self.claiming.handle(claims.Untaken(attempt))
+                    self.claiming.handle(claimmessages.Untaken(attempt))
                     return
                 work.greenlet = gevent.spawn(self.run_claimed, work)
-            case claims.Reply(_, answer):
+            case claimmessages.Reply(_, answer):
                 if work is not None:
                     self.reply(work, answer)
-            case claims.Reject(_, refusal):
+            case claimmessages.Reject(_, refusal):
                 if work is not None:
                     self.refuse(work, refusal)
 
@@ -199,14 +204,14 @@
         try:
             answer = self.relay.whole_answer(work)
         except NotTaken:
-            self.claiming.handle(claims.Untaken(attempt))
+            self.claiming.handle(claimmessages.Untaken(attempt))
             return
         except CallLost:
             self.check_crash(work)
-            self.claiming.handle(claims.Lost(attempt))
+            self.claiming.handle(claimmessages.Lost(attempt))
             return
         self.survived(work)
-        self.claiming.handle(claims.Ran(attempt, answer))
+        self.claiming.handle(claimmessages.Ran(attempt, answer))
 
     def hand(self, work: Work) -> None:
         """Mark an attempt as handed to the upstream's present life."""
@@ -262,7 +267,7 @@
         if work is None:
             return
         if work.call.key and work.admitted:
-            self.claiming.handle(claims.GiveUp(attempt))
+            self.claiming.handle(claimmessages.GiveUp(attempt))
             return
         if not work.admitted:
             withdraw = admission.Withdraw(attempt)
--- a/standins/peers.py
+++ b/standins/peers.py
@@ -6,7 +6,7 @@
 import gevent
 
 from comfreyarch_core import frames
-from comfreyarch_daemon import wire
+from comfreyarch_daemon import handshake, linking, wire
 from comfreyarch_daemon.metrics import Metrics
 from standins.http import run_for_ever
 
@@ -20,8 +20,8 @@
         """Prepare to listen."""
         self.name = name
         self.links: list[wire.Link] = []
-        me = wire.Identity(name, 'sidecar', f'life-{name}', key, lambda: 1)
-        self.listener = wire.Listener(
+        me = handshake.Identity(name, 'sidecar', f'life-{name}', key, lambda: 1)
+        self.listener = linking.Listener(
             f'127.0.0.1:{port}',
             me,
             Metrics(),
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -2,8 +2,9 @@
 
 from dataclasses import dataclass, field, replace
 
-from comfreyarch_core import claims
-from comfreyarch_core.claims import Answer, ClaimDesk, Row, RowState
+from comfreyarch_core import claimmessages, claims
+from comfreyarch_core.claimmessages import Answer, Row, RowState
+from comfreyarch_core.claims import ClaimDesk
 from comfreyarch_core.refusals import Ran, Refusal
 
 
@@ -18,7 +19,7 @@
     sidecars: int = 2
     desks: list[ClaimDesk] = field(default_factory=list)
     rows: dict[str, Row] = field(default_factory=dict)
-    writes: list[tuple[int, ClaimDesk, claims.Write]] = field(
+    writes: list[tuple[int, ClaimDesk, claimmessages.Write]] = field(
         default_factory=list,
     )
     reads: list[tuple[int, ClaimDesk, str]] = field(default_factory=list)
@@ -45,36 +46,36 @@
     def ask(self, number: int, attempt: str, key: str, body: str = 'b') -> None:
         """Let a caller's attempt reach a sidecar."""
         self.keys[attempt] = key
-        self.tell(number, claims.Ask(attempt, key, body))
+        self.tell(number, claimmessages.Ask(attempt, key, body))
 
-    def tell(self, number: int, message: claims.Message) -> None:
+    def tell(self, number: int, message: claimmessages.Message) -> None:
         """Give a desk a message and take what it decides."""
         desk = self.desks[number]
         for outcome in desk.handle(message, 0):
             match outcome:
-                case claims.Write():
+                case claimmessages.Write():
                     self.writes.append((number, desk, outcome))
-                case claims.Read(key):
+                case claimmessages.Read(key):
                     self.reads.append((number, desk, key))
-                case claims.HandOver(attempt):
+                case claimmessages.HandOver(attempt):
                     self.handed.append((number, desk, attempt))
-                case claims.Reply(attempt, answer):
+                case claimmessages.Reply(attempt, answer):
                     self.replies.setdefault(attempt, []).append(answer)
-                case claims.Reject(attempt, refusal):
+                case claimmessages.Reject(attempt, refusal):
                     self.replies.setdefault(attempt, []).append(refusal)
 
     def alive(self, number: int, desk: ClaimDesk) -> bool:
         """Tell whether a life still goes on."""
         return self.desks[number] is desk
 
-    def effect(self, write: claims.Write) -> claims.Message:
+    def effect(self, write: claimmessages.Write) -> claimmessages.Message:
         """Let a write reach the table."""
         row = self.rows.get(write.key, Row())
         if row.version != write.expected:
-            return claims.Conflict(write.key, row)
+            return claimmessages.Conflict(write.key, row)
         version = row.version + 1
         self.rows[write.key] = replace(write.row, version=version)
-        return claims.Committed(write.key, version)
+        return claimmessages.Committed(write.key, version)
 
     def settle_write(self, index: int, fate: str) -> None:
         """Let a pending write meet its fate.
@@ -83,7 +84,7 @@
         knows), ``late`` (no effect yet, nobody knows), ``down``.
         """
         number, desk, write = self.writes.pop(index)
-        message: claims.Message = claims.Unclear(write.key)
+        message: claimmessages.Message = claimmessages.Unclear(write.key)
         if fate == 'ok':
             message = self.effect(write)
         elif fate == 'lost answer':
@@ -91,7 +92,7 @@
         elif fate == 'late':
             self.writes.append((-1, desk, write))
         elif fate == 'down':
-            message = claims.Down(write.key)
+            message = claimmessages.Down(write.key)
         if number >= 0 and self.alive(number, desk):
             self.tell(number, message)
 
@@ -101,7 +102,9 @@
         if not self.alive(number, desk):
             return
         row = self.rows.get(key, Row())
-        message = claims.Seen(key, row) if up else claims.Down(key)
+        message = (
+            claimmessages.Seen(key, row) if up else claimmessages.Down(key)
+        )
         self.tell(number, message)
 
     def run(self, index: int, fate: str) -> None:
@@ -117,11 +120,11 @@
             return
         if fate == 'ok':
             answer = Answer(200, {}, f'ran {attempt}'.encode())
-            self.tell(number, claims.Ran(attempt, answer))
+            self.tell(number, claimmessages.Ran(attempt, answer))
         elif fate == 'untaken':
-            self.tell(number, claims.Untaken(attempt))
+            self.tell(number, claimmessages.Untaken(attempt))
         else:
-            self.tell(number, claims.Lost(attempt))
+            self.tell(number, claimmessages.Lost(attempt))
 
     def quiesce(self, rounds: int = 20) -> None:
         """Let everything pending go well, and unsettled rows be tried."""
@@ -134,7 +137,7 @@
                 else:
                     self.run(0, 'ok')
             for number in range(self.sidecars):
-                self.tell(number, claims.Again())
+                self.tell(number, claimmessages.Again())
 
     def check(self) -> None:
         """Check the promises against the ledger."""
--- a/tests/map_world.py
+++ b/tests/map_world.py
@@ -6,9 +6,9 @@
 
 import msgspec
 
+from comfreyarch_core import coordination, rankdesk, rankmessages
 from comfreyarch_core import coordinator as coordinators
 from comfreyarch_core import mapmessages as maps
-from comfreyarch_core import rankdesk
 from comfreyarch_daemon.engineorders import to_order, to_state
 from standins.engines import Rank
 
@@ -52,8 +52,8 @@
     def see(self, number: int) -> None:
         """Let a sidecar read floor and engine."""
         if not self.desks[number].floor_known:
-            self.tell_desk(number, rankdesk.Floor(self.lease_fence))
-        seen = rankdesk.EngineSeen(state_of(self.engines[number]))
+            self.tell_desk(number, rankmessages.Floor(self.lease_fence))
+        seen = rankmessages.EngineSeen(state_of(self.engines[number]))
         self.tell_desk(number, seen)
 
     def lead(self) -> coordinators.Coordinator:
@@ -68,7 +68,7 @@
         self.act_leader(len(self.leaders) - 1, leader.start(self.now))
         return leader
 
-    def tell_leader(self, number: int, message: coordinators.Message) -> None:
+    def tell_leader(self, number: int, message: coordination.Message) -> None:
         """Give a coordinator a message."""
         leader = self.leaders[number]
         self.act_leader(number, leader.handle(message, self.now))
@@ -76,7 +76,7 @@
     def act_leader(self, number: int, outcomes: list[object]) -> None:
         """Send what a coordinator wants sent."""
         for outcome in outcomes:
-            if isinstance(outcome, coordinators.ToRank):
+            if isinstance(outcome, coordination.ToRank):
                 self.post('rank', outcome.rank, outcome.order)
 
     def post(self, kind: str, target: int, message: object) -> None:
@@ -85,7 +85,7 @@
         if entry not in self.sent:
             self.sent.append(entry)
 
-    def tell_desk(self, number: int, message: rankdesk.Message) -> None:
+    def tell_desk(self, number: int, message: rankmessages.Message) -> None:
         """Give a desk a message; orders reach its engine at once."""
         desk = self.desks[number]
         if 'fence' in self.rules_off:
@@ -96,16 +96,16 @@
         """Carry out what a desk decided."""
         for outcome in outcomes:
             match outcome:
-                case rankdesk.ToEngine(order):
+                case rankmessages.ToEngine(order):
                     self.order_engine(number, order)
-                case rankdesk.ToCoordinator(reply):
+                case rankmessages.ToCoordinator(reply):
                     for index in range(len(self.leaders)):
                         self.post('leader', index, reply)
-                case rankdesk.ToPeers(ask):
+                case rankmessages.ToPeers(ask):
                     for other in range(self.size):
                         if other != number:
                             self.post('rank', other, ask)
-                case rankdesk.ToPeer(rank, tell):
+                case rankmessages.ToPeer(rank, tell):
                     self.post('rank', rank, tell)
 
     def order_engine(self, number: int, order: maps.EngineOrder) -> None:
@@ -116,7 +116,7 @@
             engine.prepared.step = 10**9
             if engine.prepared.outcome == 'commit':
                 engine.prepared.step = 0
-        done = rankdesk.EngineDone(status == 200, state_of(engine))
+        done = rankmessages.EngineDone(status == 200, state_of(engine))
         self.tell_desk(number, done)
 
     def deliver(self, entry: tuple[str, int, object]) -> None:
@@ -182,9 +182,9 @@
             self.now += 0.6
             for number in range(self.size):
                 self.see(number)
-                self.tell_desk(number, rankdesk.Tick())
+                self.tell_desk(number, rankmessages.Tick())
             for number in range(len(self.leaders)):
-                self.tell_leader(number, coordinators.Tick())
+                self.tell_leader(number, coordination.Tick())
 
     def clone(self) -> 'World':
         """Copy the whole world."""
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -9,6 +9,7 @@
 from bench.replay import Replay
 from comfreyarch_core import balancer as balancing
 from comfreyarch_core.balancer import Balancer
+from comfreyarch_core.bounds import limit_ms
 from comfreyarch_core.costs import (
     CostModel,
     Picture,
@@ -17,13 +18,8 @@
 )
 from comfreyarch_core.evacuation import Evacuated, Stuck, evacuate
 from comfreyarch_core.loads import Report, make_estimator
-from comfreyarch_core.moves import (
-    Limits,
-    Price,
-    limit_ms,
-    pack,
-    plan_moves,
-)
+from comfreyarch_core.moves import Limits, Price
+from comfreyarch_core.planning import pack, plan_moves
 
 COSTS = CostModel(10, 0.1, 1)
 LIMITS = Limits(8, (3, 2, 2, 2))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,8 +8,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from comfreyarch_core import claims
-from comfreyarch_core.claims import Answer
+from comfreyarch_core import claimmessages
+from comfreyarch_core.claimmessages import Answer
 from comfreyarch_core.refusals import Kind, Ran, Refusal
 
 WRITE_FATES = ('ok', 'lost answer', 'lost', 'late', 'down')
@@ -50,7 +50,7 @@
     world.ask(0, 'a1', 'k')
     world.settle_write(0, claim)
     if give_up:
-        world.tell(0, claims.GiveUp('a1'))
+        world.tell(0, claimmessages.GiveUp('a1'))
     if crash == 'after claim':
         world.kill(0)
     if resend in {'same sidecar', 'both'}:
@@ -139,9 +139,9 @@
     world = ClaimWorld()
     world.ask(0, 'a1', 'k')
     world.settle_write(0, 'late')
-    world.tell(0, claims.GiveUp('a1'))
+    world.tell(0, claimmessages.GiveUp('a1'))
     late = world.writes.pop()
-    world.tell(0, claims.Again())
+    world.tell(0, claimmessages.Again())
     while world.reads or world.writes:
         if world.reads:
             world.settle_read(0)
@@ -202,11 +202,11 @@
 
     @rule(sidecar=st.integers(0, 1), number=st.integers(1, 30))
     def give_up(self, sidecar: int, number: int) -> None:
-        self.world.tell(sidecar, claims.GiveUp(f'a{number}'))
+        self.world.tell(sidecar, claimmessages.GiveUp(f'a{number}'))
 
     @rule(sidecar=st.integers(0, 1))
     def again(self, sidecar: int) -> None:
-        self.world.tell(sidecar, claims.Again())
+        self.world.tell(sidecar, claimmessages.Again())
 
     @invariant()
     def promises_hold(self) -> None:
--- a/tests/test_contracts.py
+++ b/tests/test_contracts.py
@@ -7,8 +7,8 @@
 from gevent import socket
 
 from comfreyarch_core import frames
+from comfreyarch_daemon import handshake, linking, wire
 from comfreyarch_daemon import store as stores
-from comfreyarch_daemon import wire
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.store import (
     Ambiguous,
@@ -215,8 +215,8 @@
         caller.open(make_call('POST', 'team/key'))
 
 
-def identity(name: str, key: bytes = b'k' * 16) -> wire.Identity:
-    return wire.Identity(name, 'entry', f'life-{name}', key, lambda: 7)
+def identity(name: str, key: bytes = b'k' * 16) -> handshake.Identity:
+    return handshake.Identity(name, 'entry', f'life-{name}', key, lambda: 7)
 
 
 @pytest.fixture
@@ -229,7 +229,7 @@
         links.append(link)
         link.start(lambda one, frame: one.send(frame), wire.ignore_close)
 
-    listener = wire.Listener(address, identity('b'), metrics, adopt)
+    listener = linking.Listener(address, identity('b'), metrics, adopt)
     listener.start()
     yield address, links, metrics
     for link in links:
@@ -246,7 +246,7 @@
 def test_link_proves_both_ends_and_carries_frames(listening) -> None:
     address, links, _ = listening
     received: list[frames.AnyFrame] = []
-    link = wire.open_link(address, identity('a'), Metrics())
+    link = handshake.open_link(address, identity('a'), Metrics())
     link.start(lambda _, frame: received.append(frame), wire.ignore_close)
     for number in range(500):
         link.send(frames.Chunk('a', number * 2, b'xy'))
@@ -262,7 +262,7 @@
     address, links, metrics = listening
     stranger = identity('x', b'wrong key of theirs')
     with pytest.raises(wire.LinkError) as refused:
-        wire.open_link(address, stranger, Metrics())
+        handshake.open_link(address, stranger, Metrics())
     assert refused.value.reason == 'key'
     wait_for(lambda: b'links_refused' in metrics.text())
     assert not links
@@ -271,9 +271,9 @@
 def test_bad_frame_closes_its_link_and_no_other(listening) -> None:
     address, links, metrics = listening
     received: list[frames.AnyFrame] = []
-    good = wire.open_link(address, identity('a'), Metrics())
+    good = handshake.open_link(address, identity('a'), Metrics())
     good.start(lambda _, frame: received.append(frame), wire.ignore_close)
-    bad = wire.open_link(address, identity('c'), Metrics())
+    bad = handshake.open_link(address, identity('c'), Metrics())
     wait_for(lambda: len(links) == 2)
     bad.protocol.send_binary(b'\xff\xff')
     bad.flush()
@@ -288,7 +288,7 @@
 ) -> None:
     address, links, _ = listening
     monkeypatch.setattr(frames, 'PROTOCOL_VERSION', 2)
-    link = wire.connect(address, Metrics())
+    link = handshake.connect(address, Metrics())
     hello = frames.Hello(1, 'a', 'entry', 'i', 0, b'n' * 16)
     link.write_now([hello])
     answer = link.expect(frames.Challenge)
--- a/tests/test_map_change.py
+++ b/tests/test_map_change.py
@@ -10,9 +10,8 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from map_world import NEW, World
 
-from comfreyarch_core import coordinator as coordinators
+from comfreyarch_core import coordination, rankdesk, rankmessages
 from comfreyarch_core import mapmessages as maps
-from comfreyarch_core import rankdesk
 
 FAULTS = (
     'drop',
@@ -34,7 +33,7 @@
     change = f'change-{leader.fence}'
     world.tell_leader(
         number,
-        coordinators.Propose(change, NEW[: world.size]),
+        coordination.Propose(change, NEW[: world.size]),
     )
 
 
@@ -56,7 +55,7 @@
 
 def test_steady_state_sends_nothing() -> None:
     world = started()
-    assert world.leaders[0].phase is coordinators.Phase.steady
+    assert world.leaders[0].phase is coordination.Phase.steady
     before = len(world.sent)
     world.run(10)
     assert len(world.sent) == before == 0
@@ -64,7 +63,7 @@
 
 def desk_of() -> rankdesk.RankDesk:
     desk = rankdesk.RankDesk(0)
-    desk.handle(rankdesk.EngineSeen(maps.RankState(map_id='start')), 0)
+    desk.handle(rankmessages.EngineSeen(maps.RankState(map_id='start')), 0)
     return desk
 
 
@@ -75,7 +74,7 @@
 def test_prepare_repeated_after_the_outcome_is_declined() -> None:
     """Also for an engine that would hold at it once more."""
     desk = desk_of()
-    desk.handle(rankdesk.Floor(1), 0)
+    desk.handle(rankmessages.Floor(1), 0)
     desk.handle(maps.Decide(1, 'c', maps.ABORT), 0)
     late = maps.Prepare(1, 'c', 0, 9, NEW)
     assert replies(desk.handle(late, 0)) == [maps.Unprepared]
@@ -85,7 +84,7 @@
     desk = desk_of()
     old = maps.Prepare(3, 'c', 0, 9, NEW)
     assert desk.handle(old, 0) == []
-    assert replies(desk.handle(rankdesk.Floor(5), 0)) == [maps.Refused]
+    assert replies(desk.handle(rankmessages.Floor(5), 0)) == [maps.Refused]
 
 
 def apply_fault(world: World, fault: str, entry: tuple) -> None:
@@ -148,7 +147,7 @@
     for entry in held:
         world.deliver(entry)
     world.run(30)
-    assert world.leaders[0].phase is coordinators.Phase.deposed
+    assert world.leaders[0].phase is coordination.Phase.deposed
     assert world.mixed() == []
     assert len({engine.map_id for engine in world.engines}) == 1
 
@@ -264,7 +263,7 @@
 def committed(rules_off: frozenset[str] = frozenset()) -> World:
     """Make the same, with the commit decided and not yet delivered."""
     world = opened(rules_off)
-    while world.leaders[0].phase is coordinators.Phase.preparing:
+    while world.leaders[0].phase is coordination.Phase.preparing:
         world.deliver(world.sent.pop(0))
     return world
 
@@ -343,18 +342,18 @@
     def tick(self, pick: int, seconds: float) -> None:
         self.world.now += seconds
         number = pick % len(self.world.leaders)
-        self.world.tell_leader(number, coordinators.Tick())
+        self.world.tell_leader(number, coordination.Tick())
 
     @rule(pick=st.integers(0, 3))
     def propose(self, pick: int) -> None:
         number = pick % len(self.world.leaders)
         leader = self.world.leaders[number]
-        if leader.phase is not coordinators.Phase.steady:
+        if leader.phase is not coordination.Phase.steady:
             return
         leader.early = 1
         leader.step = max(one.step for one in self.world.engines)
         change = f'change-{leader.fence}-{len(leader.outcomes)}'
-        self.world.tell_leader(number, coordinators.Propose(change, NEW))
+        self.world.tell_leader(number, coordination.Propose(change, NEW))
 
     @invariant()
     def no_mixed_step(self) -> None:
