Wait a moment for a team's share; test limits, reports and entry stops on processes

An entry whose share has run out asks the home and waits up to 100 ms for the answer before it refuses; until now the first requests after a pause were refused while the answer was on its way. Entries keep links to their zone's homes.

--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench
 
+SEED ?= 1
 soak: $(STAMP)
-	$(BIN)/python -m pytest tests -k soak --hypothesis-seed=$(SEED)
+	SOAK=1 $(BIN)/python -m pytest tests -k soak --hypothesis-seed=$(SEED)
 
 clean:
 	rm -rf $(VENV) run build
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limiting.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limiting.py
@@ -1,8 +1,11 @@
 """Keep the teams' limits at an entry and lend shares to others."""
 
+import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from gevent.event import Event
+
 from comfreyarch_core import frames
 from comfreyarch_core.checking import ConfigSet
 from comfreyarch_core.limits import (
@@ -19,6 +22,7 @@
 
 MS_A_SECOND = 1000
 ZONE_LEVEL = 'zone'
+GRANT_WAIT_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +37,7 @@
     """Admit teams' requests and play home for the teams that hash here."""
 
     __slots__ = (
+        'arrivals',
         'config',
         'entries',
         'gates',
@@ -56,6 +61,7 @@
         self.send = send
         self.config = ConfigSet()
         self.gates: dict[str, TeamGate] = {}
+        self.arrivals: dict[str, Event] = {}
         self.zone_homes: dict[str, Home] = {}
         self.root_homes: dict[str, Home] = {}
         self.entries: list[str] = [place.node]
@@ -122,7 +128,16 @@
         if refusal is None or gate.grant.until > now:
             return refusal
         self.ask(team, gate, now)
-        return gate.admit(now)
+        self.wait_for_grant(team, gate, now)
+        return gate.admit(time.monotonic())
+
+    def wait_for_grant(self, team: str, gate: TeamGate, now: float) -> None:
+        """Wait a moment for a home that answers from another entry."""
+        if gate.grant.until > now:
+            return
+        arrived = self.arrivals.setdefault(team, Event())
+        arrived.clear()
+        arrived.wait(GRANT_WAIT_S)
 
     def release(self, team: str) -> None:
         """Count a request over."""
@@ -237,13 +252,17 @@
         if gate is not None:
             until = now + grant.ttl_ms / MS_A_SECOND
             gate.grant = Grant(grant.rate, grant.open, until)
+            arrived = self.arrivals.pop(grant.team, None)
+            if arrived is not None:
+                arrived.set()
 
     def homes(self) -> set[str]:
         """Tell which entries this one needs links to.
 
-        :returns: node names: homes of teams at work here.
+        :returns: node names: the zone's homes of all teams, so that the
+            first ask need not wait for a link, and the teams' own homes
+            where this entry is a zone's home.
         """
-        busy = {team for team, gate in self.gates.items() if gate.asked_at}
-        wanted = {self.zone_home(team) for team in busy}
+        wanted = {self.zone_home(team) for team in self.gates}
         wanted.update(self.root(team) for team in self.zone_homes)
         return wanted - {self.place.node}
--- a/standins/scenes.py
+++ b/standins/scenes.py
@@ -9,6 +9,8 @@
 GROUP = 'redator'
 SERVICES = 'balcao'
 TOKEN_MS = 0.1
+LIMITED = 'limitada'
+LIMITED_OPEN = 10
 
 
 def placement_of(ranks: int, experts_a_rank: int) -> list[list[int]]:
@@ -58,6 +60,10 @@
             f'[upstreams.{SERVICES}-{number}]\ngroup = "{SERVICES}"\n'
             f'availability_zone = "{zone}"\n',
         )
+    parts.append(
+        f'[teams.{LIMITED}]\ntoken_sha256 = "{hash_of(LIMITED)}"\n'
+        f'rate = 1000\nconcurrency = {LIMITED_OPEN}\n',
+    )
     for team in teams:
         parts.append(
             f'[teams.{team}]\ntoken_sha256 = "{hash_of(team)}"\n'
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,7 +11,13 @@
 
 from standins import calling
 from standins.launcher import Fleet, NodeAt, fetch, http, wait_until
-from standins.scenes import make_fleet, run_cli, start_all
+from standins.scenes import (
+    LIMITED,
+    LIMITED_OPEN,
+    make_fleet,
+    run_cli,
+    start_all,
+)
 
 TEAM = 'estudantes'
 RANKS = 3
@@ -508,6 +514,21 @@
     run_cli(fleet, 'publish', str(path))
 
 
+def test_limit_holds_over_all_entries(fleet: Fleet) -> None:
+    ports = [entry(fleet, number % 2).callers for number in range(30)]
+    streams = [
+        calling.OpenStream(port, LIMITED, f'limit{number}', 900)
+        for number, port in enumerate(ports)
+    ]
+    admitted = [one for one in streams if one.response.status_code == 200]
+    refused = [one for one in streams if one.response.status_code == 429]
+    assert len(admitted) + len(refused) == 30
+    assert 2 <= len(admitted) <= LIMITED_OPEN
+    assert all(one.response.get('retry-after') for one in refused)
+    for stream in streams:
+        stream.close()
+
+
 def test_refused_set_changes_nothing_and_exits_with_two(fleet: Fleet) -> None:
     bad = fleet.folder / 'bad.toml'
     bad.write_text('[teams.x]\nrate = "much"\n[routes.y]\ngroup = "none"\n')
@@ -521,6 +542,41 @@
     assert status(entry(fleet))['revision'] == before
 
 
+def test_planned_stop_of_an_entry_refuses_as_not_run(fleet: Fleet) -> None:
+    stream = calling.OpenStream(entry(fleet).callers, TEAM, 'entry stop', 200)
+    stream.event()
+    run_cli(fleet, 'stop', 'entry', 'entry-0')
+    wait_until(lambda: status(entry(fleet))['leaving'], 'the entry to leave')
+    reply = calling.chat(entry(fleet).callers, TEAM, 'late', 3, stream=True)
+    assert error_of(reply)['kind'] == 'leaving'
+    assert error_of(reply)['ran'] == 'not_run'
+    body = stream.rest()
+    assert body == calling.expected('entry stop', 200, stream=True)
+    run_cli(fleet, 'resume', 'entry-0')
+    wait_until(lambda: fleet.ready(entry(fleet)), 'the entry to be back')
+
+
+def test_operators_commands_read_what_is_there(fleet: Fleet, tmp_path) -> None:
+    calling.chat(entry(fleet).callers, TEAM, 'report', 4, stream=True)
+    calling.chat(entry(fleet, 1).callers, TEAM, 'report', 4, stream=True)
+    lines = json.loads(run_cli(fleet, 'report', '--json'))
+    mine = [one for one in lines if one['team'] == TEAM]
+    assert mine[0]['group'] == 'redator'
+    assert mine[0]['waits']['count'] >= 2
+    assert [one['window_s'] for one in mine[0]['burns']] == [300, 3600, 21600]
+    page = tmp_path / 'report.html'
+    run_cli(fleet, 'report', '--html', str(page))
+    assert '<svg' in page.read_text()
+    assert 'http' not in page.read_text().replace('http://www.w3.org', '')
+    nodes = json.loads(run_cli(fleet, 'status', '--json'))
+    assert set(nodes) == set(fleet.nodes)
+    assert sum(bool(one.get('leads')) for one in nodes.values()) == 1
+    changed = tmp_path / 'changed.toml'
+    text = (fleet.folder / 'config.toml').read_text()
+    changed.write_text(text.replace('rate = 2000', 'rate = 7'))
+    assert '~ teams.estudantes' in run_cli(fleet, 'diff', str(changed))
+
+
 def test_garbage_on_a_link_is_counted_and_others_go_on(fleet: Fleet) -> None:
     node = sidecar(fleet, 'redator-0')
     stream = calling.OpenStream(entry(fleet).callers, TEAM, 'garbage', 60)
