--- a/packages/comfreyarch-cli/src/comfreyarch_cli/pages.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/pages.py
@@ -12,7 +12,7 @@
 
 HOUR_S = 3600
 US_A_MS = 1000
-COMMENT = re.compile('<!--.*?-->', re.DOTALL)
+UNWANTED = re.compile('<!--.*?-->|<script.*?</script>', re.DOTALL)
 CURVE = (1, 5, 10, 25, 50, 75, 90, 95, 99)
 PAGE_STYLE = """
 body{font:15px/1.45 system-ui,sans-serif;margin:2rem auto;max-width:62rem;
@@ -141,9 +141,9 @@
 
 
 def render(chart: Bar | Line) -> str:
-    """Render a plot for use inside a page, the generator's notes left out.
+    """Render a plot for use inside a page, no notes and no scripts.
 
     :returns: an SVG element.
     """
     drawn: str = chart.render(is_unicode=True)
-    return COMMENT.sub('', drawn[drawn.index('<svg') :])
+    return UNWANTED.sub('', drawn[drawn.index('<svg') :])
