--- a/packages/comfreyarch-cli/src/comfreyarch_cli/pages.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/pages.py
@@ -11,7 +11,6 @@
 from comfreyarch_cli.reports import Summary
 
 HOUR_S = 3600
-US_A_MS = 1000
 UNWANTED = re.compile('<!--.*?-->|<script.*?</script>', re.DOTALL)
 CURVE = (1, 5, 10, 25, 50, 75, 90, 95, 99)
 PAGE_STYLE = """
@@ -124,10 +123,7 @@
     chart = Line(chart_config('Wait in ms, by share of answers'))
     chart.x_labels = [f'{share} %' for share in CURVE]
     for name, histogram in sorted(summary.histograms.items()):
-        values = [
-            histogram.get_value_at_percentile(share) / US_A_MS
-            for share in CURVE
-        ]
+        values = [histogram.get_value_at_percentile(share) for share in CURVE]
         chart.add(name, values)
     return f'<figure>{render(chart)}</figure>'
 
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
@@ -17,12 +17,11 @@
     merge,
 )
 from comfreyarch_core.checking import ConfigSet, check
-from comfreyarch_daemon.metrics import DIGITS, HIGHEST_US, LOWEST_US
+from comfreyarch_daemon.metrics import DIGITS, HIGHEST_MS, LOWEST_MS
 from comfreyarch_daemon.publishing import read_current
 from comfreyarch_daemon.store import StoreClient, StoreError
 
 DEFAULT_TARGET = 0.95
-US_A_MS = 1000
 PERCENTILES = (50, 95, 99)
 WAIT_PREFIX = 'wait/'
 
@@ -100,7 +99,7 @@
 def merge_waits(pages: Iterable[NodePage]) -> dict[str, HdrHistogram]:
     """Merge the wait histograms of all entries.
 
-    :returns: histograms by ``group/team``, microseconds.
+    :returns: histograms by ``group/team``, milliseconds.
     """
     merged: dict[str, HdrHistogram] = {}
     for one in pages:
@@ -110,7 +109,7 @@
                 continue
             key = name.removeprefix(WAIT_PREFIX)
             if key not in merged:
-                merged[key] = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+                merged[key] = HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
             merged[key].decode_and_add(encoded)
     return merged
 
@@ -168,7 +167,6 @@
     :returns: milliseconds.
     """
     p50, p95, p99 = (
-        histogram.get_value_at_percentile(share) / US_A_MS
-        for share in PERCENTILES
+        histogram.get_value_at_percentile(share) for share in PERCENTILES
     )
     return Waits(histogram.get_total_count(), p50, p95, p99)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
@@ -3,10 +3,10 @@
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
-LOWEST_US = 1
-HIGHEST_US = 600_000_000
+LOWEST_MS = 1
+HIGHEST_MS = 600_000
 DIGITS = 2
-US_A_SECOND = 1_000_000
+MS_A_SECOND = 1000
 
 
 class Metrics:
@@ -50,12 +50,12 @@
         gauge.set(level)
 
     def record(self, name: str, seconds: float) -> None:
-        """Record a duration in the histogram of a name."""
+        """Record a duration in the histogram of a name, in milliseconds."""
         histogram = self.histograms.get(name)
         if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            histogram = HdrHistogram(LOWEST_MS, HIGHEST_MS, DIGITS)
             self.histograms[name] = histogram
-        histogram.record_value(max(LOWEST_US, round(seconds * US_A_SECOND)))
+        histogram.record_value(max(LOWEST_MS, round(seconds * MS_A_SECOND)))
 
     def encoded(self) -> dict[str, str]:
         """Encode the histograms so that others can merge them.
