--- a/packages/comfreyarch-core/src/comfreyarch_core/evacuation.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/evacuation.py
@@ -40,7 +40,8 @@
     """Move the only copies held by stopping ranks to free slots.
 
     The heaviest expert goes first, each to the rank with the least load
-    among those with a free slot in its layer.
+    among those with a free slot in its layer. Where none is free, the
+    replica that matters least makes room.
 
     :param stopping: ranks that are to hold nothing.
     :param loads: tokens a step by expert.
@@ -56,6 +57,8 @@
     stuck: list[int] = []
     for expert in homeless:
         rank = coolest(kept, expert, stopping, loads, limits)
+        if rank is None:
+            rank = drop_replica(kept, expert, loads, limits)
         if rank is None:
             stuck.append(expert)
         else:
@@ -90,6 +93,32 @@
     )
 
 
+def drop_replica(
+    placement: Placement,
+    expert: int,
+    loads: list[float],
+    limits: Limits,
+) -> int | None:
+    """Take the least loaded replica of an expert's layer out of the map.
+
+    :returns: the rank that has room now, None where every copy is the only
+        one.
+    """
+    layer = expert // limits.experts_a_layer
+    holders = count_holders(placement, len(loads))
+    spare = [
+        (loads[one] / holders[one], rank, one)
+        for rank, held in enumerate(placement)
+        for one in held
+        if one // limits.experts_a_layer == layer and holders[one] > 1
+    ]
+    if not spare:
+        return None
+    _, rank, replica = min(spare)
+    placement[rank].remove(replica)
+    return rank
+
+
 def in_layer(held: list[int], layer: int, limits: Limits) -> int:
     """Count the experts of a layer that a rank holds.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -13,7 +13,7 @@
 from comfreyarch_daemon.answering import Answering
 from comfreyarch_daemon.attempts import GaveUp, Piece
 from comfreyarch_daemon.limiting import Limiter
-from comfreyarch_daemon.listening import open_listener
+from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.reporting import Outcomes
 from comfreyarch_daemon.requests import (
@@ -78,6 +78,7 @@
             self.application,
             log=None,
             error_log=None,
+            handler_class=QuietHandler,
         )
 
     def start(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/listening.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/listening.py
@@ -1,12 +1,20 @@
 """Open listening sockets whose connections send small writes at once."""
 
 from gevent import socket
+from gevent.pywsgi import WSGIHandler
 
 from comfreyarch_daemon.settings import split_address
 
 BACKLOG = 1024
 
 
+class QuietHandler(WSGIHandler):  # type: ignore[misc]
+    """Serve HTTP without an access log, which is costly even when unused."""
+
+    def log_request(self) -> None:
+        """Log nothing; counters tell what was served."""
+
+
 def open_listener(address: str) -> socket.socket:
     """Listen on an address.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
@@ -1,5 +1,6 @@
 """Start comfreyarchd from its settings file."""
 
+import gc
 import signal
 import sys
 from pathlib import Path
@@ -22,6 +23,8 @@
 from comfreyarch_daemon.sidecar import SidecarRole
 
 EXIT_SETTINGS = 2
+# Fewer collections: most garbage here is freed by reference counts.
+GC_THRESHOLDS = (20_000, 20, 20)
 app = typer.Typer(add_completion=False)
 
 
@@ -98,6 +101,7 @@
         typer.echo(f'{settings}: correct')
         return
     start_logs(read.node, read.log_level)
+    gc.set_threshold(*GC_THRESHOLDS)
     try:
         daemon = start_daemon(read, key)
     except OSError as error:
--- a/tests/test_balance.py
+++ b/tests/test_balance.py
@@ -205,6 +205,18 @@
     assert {one for held in found.placement for one in held} == set(range(8))
 
 
+def test_replicas_make_room_for_the_experts_of_a_stopping_rank() -> None:
+    placement = [[0, 1, 6], [2, 3, 0], [4, 5], [6, 7]]
+    limits = Limits(8, (3, 3, 2, 2))
+    found = evacuate(placement, {3}, [1.0] * 8, limits)
+    assert isinstance(found, Evacuated)
+    assert {one for held in found.placement for one in held} == set(range(8))
+    assert all(
+        len(held) <= slots
+        for held, slots in zip(found.placement, (3, 3, 2, 0), strict=True)
+    )
+
+
 def test_stopping_rank_without_room_elsewhere_is_explained() -> None:
     found = evacuate(PLACEMENT, {3}, [1.0] * 8, LIMITS)
     assert isinstance(found, Stuck)
