Do not let a change hold a group whose rank is away

A change is not proposed while a rank is unlinked, is aborted when a rank's link is lost, and is aborted when a rank reports that it already waits at the step.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
@@ -151,7 +151,11 @@
         state: RankState,
         now: float,
     ) -> list[Outcome]:
-        """Take an unasked report: lost memory, or a change left open."""
+        """Take an unasked report: lost memory, or a change left open.
+
+        A rank that already waits at the step of the change under way holds
+        the whole group; the change is aborted and tried later.
+        """
         if self.phase is Phase.beginning:
             return []
         if state.lost or state.epoch != self.epoch:
@@ -160,7 +164,9 @@
         if not change:
             return []
         if self.prepare is not None and self.prepare.change == change:
-            return []
+            if state.step < state.change_step:
+                return []
+            return self.rank_unprepared(change, state.step, now)
         outcome = self.outcomes.get(change, ABORT)
         return [ToRank(rank, Decide(self.fence, change, outcome))]
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
@@ -3,7 +3,7 @@
 import time
 from typing import Any
 
-from comfreyarch_core import frames
+from comfreyarch_core import coordination, frames
 from comfreyarch_core.checking import ConfigSet
 from comfreyarch_core.mapmessages import (
     AnyMapMessage,
@@ -63,6 +63,7 @@
             self.ranking.floor,
         )
         self.leading.send_share = self.send_share
+        self.leading.linked = self.linked
         self.ranking.reported = self.report
 
     def start(self) -> None:
@@ -114,6 +115,24 @@
         found = [self.node_of(rank) for rank in ranks]
         return [one for one in found if one is not None]
 
+    def linked(self) -> bool:
+        """Tell whether all other ranks' sidecars have a link to this one.
+
+        :returns: False while one of them is away.
+        """
+        others = (
+            self.node_of(rank)
+            for rank in range(self.seat.ranks)
+            if rank != self.seat.rank
+        )
+        return all(one and one.node in self.node.links for one in others)
+
+    def lost(self, link: Link) -> None:
+        """Abort a change that a lost rank can no longer acknowledge."""
+        instance = self.node.instances.get(link.remote.node)
+        if instance and instance.upstream in self.upstreams.values():
+            self.leading.tell(coordination.Abandon())
+
     def send(self, rank: int, message: AnyMapMessage) -> None:
         """Send a message to a rank; without a link it is lost."""
         if rank == self.seat.rank:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
@@ -51,6 +51,7 @@
         'greenlet',
         'group',
         'holder',
+        'linked',
         'map_id',
         'number',
         'seat',
@@ -90,6 +91,7 @@
         self.map_id = ''
         self.decided_at = time.monotonic()
         self.send_share: Callable[[int, float], None] = ignore_share
+        self.linked: Callable[[], bool] = bool
 
     def start(self) -> None:
         """Start taking part."""
@@ -141,6 +143,8 @@
             return
         if coordinator.phase is not coordination.Phase.steady:
             return
+        if not self.linked():
+            return
         loads = list(balancer.estimator.smoothed)
         found = evacuate(placement, self.stopping, loads, balancer.limits)
         if isinstance(found, Stuck):
@@ -280,7 +284,10 @@
             self.send_share(rank, share)
 
     def propose(self, plan: Plan) -> None:
-        """Propose a planned map."""
+        """Propose a planned map, unless a rank is away."""
+        if not self.linked():
+            self.balance(ChangeEnded(committed=False))
+            return
         change = self.next_change()
         log_change(
             'map proposed',
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -227,6 +227,8 @@
     def lost(self, link: Link) -> None:
         """Cancel what a lost entry had asked for."""
         self.serving.drop_link(link)
+        if self.grouping is not None:
+            self.grouping.lost(link)
 
     def beat(self) -> frames.Beat:
         """Tell life and load.
--- a/tests/test_map_change.py
+++ b/tests/test_map_change.py
@@ -137,6 +137,31 @@
     assert len({engine.map_id for engine in world.engines}) == 1
 
 
+def test_group_held_by_a_silent_rank_goes_on_without_the_change() -> None:
+    """Prepare never reaches rank 2; the others wait at the step."""
+    world = started()
+    propose(world)
+    held: list[int] = []
+    for round_number in range(20):
+        pending, world.sent = world.sent, []
+        for entry in pending:
+            if entry[:2] != ('rank', 2) or round_number > 12:
+                world.deliver(entry)
+        before = len(world.log)
+        for number in range(world.size):
+            world.begin(number)
+        world.end_step()
+        held.append(len(world.log) == before)
+        world.now += 0.3
+        for number in range(world.size):
+            world.see(number)
+            world.tell_desk(number, rankmessages.Tick())
+    assert any(held)
+    assert not any(held[-5:])
+    assert world.leaders[0].outcomes == {'change-1': maps.ABORT}
+    assert world.mixed() == []
+
+
 def test_paused_coordinator_that_resumes_is_refused() -> None:
     world = started()
     propose(world)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -560,8 +560,10 @@
     calling.chat(entry(fleet).callers, TEAM, 'report', 4, stream=True)
     calling.chat(entry(fleet, 1).callers, TEAM, 'report', 4, stream=True)
     lines = json.loads(run_cli(fleet, 'report', '--json'))
-    mine = [one for one in lines if one['team'] == TEAM]
-    assert mine[0]['group'] == 'redator'
+    mine = [
+        one for one in lines if (one['group'], one['team']) == ('redator', TEAM)
+    ]
+    assert len(mine) == 1
     assert mine[0]['waits']['count'] >= 2
     assert [one['window_s'] for one in mine[0]['burns']] == [300, 3600, 21600]
     page = tmp_path / 'report.html'
