--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -12,7 +12,8 @@
 from bench.processes import cpu_s, resident_mb, timed
 from comfreyarch_core import frames
 from comfreyarch_core.balancer import Balancer
-from comfreyarch_core.checking import RawSet, check
+from comfreyarch_core.checking import check
+from comfreyarch_core.configset import RawSet
 from comfreyarch_core.coordination import Propose, ToRank
 from comfreyarch_core.coordinator import make_coordinator
 from comfreyarch_core.limits import Demand, Home
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
@@ -7,7 +7,7 @@
 from comfreyarch_cli.errors import CommandError, Exit
 from comfreyarch_cli.output import print_faults, print_line
 from comfreyarch_cli.parsing import check_files
-from comfreyarch_core.checking import RawSet
+from comfreyarch_core.configset import RawSet
 from comfreyarch_core.revisions import difference
 from comfreyarch_daemon.publishing import (
     Current,
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/output.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/output.py
@@ -7,7 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from comfreyarch_core.checking import Fault
+from comfreyarch_core.faults import Fault
 
 
 def print_json(content: object) -> None:
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/parsing.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/parsing.py
@@ -6,7 +6,9 @@
 from pathlib import Path
 from typing import Any
 
-from comfreyarch_core.checking import Checked, Fault, RawSet, check
+from comfreyarch_core.checking import Checked, check
+from comfreyarch_core.configset import RawSet
+from comfreyarch_core.faults import Fault
 
 
 @dataclass(slots=True)
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/reports.py
@@ -16,7 +16,8 @@
     exhaustion_s,
     merge,
 )
-from comfreyarch_core.checking import ConfigSet, check
+from comfreyarch_core.checking import check
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_daemon.metrics import DIGITS, HIGHEST_MS, LOWEST_MS
 from comfreyarch_daemon.publishing import read_current
 from comfreyarch_daemon.store import StoreClient, StoreError
--- a/packages/comfreyarch-core/src/comfreyarch_core/claims.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/claims.py
@@ -8,12 +8,10 @@
 the late claim is void.
 """
 
-import enum
 from dataclasses import dataclass, field
 
 from comfreyarch_core.claimmessages import (
     Again,
-    Answer,
     Ask,
     Committed,
     Conflict,
@@ -33,39 +31,13 @@
     Untaken,
     Write,
 )
+from comfreyarch_core.claimstate import Entry, Phase
 from comfreyarch_core.refusals import Kind, Refusal, not_run, unknown
 
 STORE_RETRY_S = 2.0
 PROGRESS_RETRY_S = 1.0
 
 
-class Phase(enum.Enum):
-    """Name where a key stands in this sidecar."""
-
-    looking = 'looking'
-    claiming = 'claiming'
-    unclear = 'unclear'
-    running = 'running'
-    recording = 'recording'
-    freeing = 'freeing'
-
-
-@dataclass(slots=True)
-class Entry:
-    """Hold what this sidecar knows of a key at work."""
-
-    key: str
-    attempt: str
-    digest: str
-    phase: Phase = Phase.looking
-    version: int = 0
-    given_up: bool = False
-    answer: Answer | None = None
-    final: RowState = RowState.recorded
-    waiting: list[str] = field(default_factory=list)
-    pending: bool = False
-
-
 @dataclass(slots=True)
 class ClaimDesk:
     """Decide for the claims of one sidecar incarnation.
--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/configset.py
@@ -0,0 +1,34 @@
+"""Hold a whole typed configuration."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from comfreyarch_core import objects
+
+RawSet = dict[str, dict[str, dict[str, Any]]]
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigSet:
+    """Hold a whole typed configuration, each kind by name."""
+
+    model_groups: dict[str, objects.ModelGroup] = field(default_factory=dict)
+    expert_maps: dict[str, objects.ExpertMap] = field(default_factory=dict)
+    service_groups: dict[str, objects.ServiceGroup] = field(
+        default_factory=dict,
+    )
+    upstreams: dict[str, objects.Upstream] = field(default_factory=dict)
+    teams: dict[str, objects.Team] = field(default_factory=dict)
+    routes: dict[str, objects.Route] = field(default_factory=dict)
+    objectives: dict[str, objects.Objective] = field(default_factory=dict)
+    stops: dict[str, objects.Stop] = field(default_factory=dict)
+    quarantines: dict[str, objects.Quarantined] = field(default_factory=dict)
+
+    def pool_of(self, group: str) -> str:
+        """Name the pool that requests of a group are routed over.
+
+        :returns: the model, which several groups may serve, or the service
+            group itself.
+        """
+        model_group = self.model_groups.get(group)
+        return group if model_group is None else model_group.model
--- a/packages/comfreyarch-core/src/comfreyarch_core/revisions.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/revisions.py
@@ -3,7 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from comfreyarch_core.checking import ConfigSet, RawSet, check
+from comfreyarch_core.checking import check
+from comfreyarch_core.configset import ConfigSet, RawSet
 
 KEPT_DELTAS = 256
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -6,7 +6,7 @@
 import gevent
 
 from comfreyarch_core import frames
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.routing import (
     Peer,
     choose_subset,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/grouping.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from comfreyarch_core import coordination, frames
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.mapmessages import (
     AnyMapMessage,
     AskOutcome,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leading.py
@@ -24,6 +24,7 @@
 from comfreyarch_core.moves import Limits, Plan
 from comfreyarch_core.objects import ExpertMap, ModelGroup
 from comfreyarch_daemon.balancing import make_balancer
+from comfreyarch_daemon.explaining import explain
 from comfreyarch_daemon.leases import Election
 from comfreyarch_daemon.logs import log_change
 from comfreyarch_daemon.ranking import Seat
@@ -304,35 +305,7 @@
         """
         if self.balancer is None:
             return {}
-        balancer = self.balancer
-        plan = balancer.plan()
-        picture = balancer.estimator.picture()
-        page: dict[str, Any] = {
-            'group': self.seat.group,
-            'slowness': list(picture.slowness),
-            'shares': list(balancer.shares),
-            'times_ms': balancer.times(balancer.placement, picture),
-            'reports_complete': balancer.estimator.complete(time.monotonic()),
-        }
-        if plan is not None:
-            page['plan'] = {
-                'changes': [
-                    {
-                        'kind': one.kind,
-                        'expert': one.given,
-                        'from': one.source,
-                        'to': one.target,
-                        'instead_of': one.taken,
-                    }
-                    for one in plan.changes
-                ],
-                'before_ms': plan.before_ms,
-                'after_ms': plan.after_ms,
-                'worth_ms': plan.worth_ms,
-                'price_ms': plan.price_ms,
-                'pays': balancer.pays(plan),
-            }
-        return page
+        return explain(self.seat.group, self.balancer, time.monotonic())
 
 
 def ignore_share(rank: int, share: float) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limiting.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limiting.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 
 from comfreyarch_core import frames
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.limits import (
     GRANT_TTL_S,
     STATIC_PART,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/publishing.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/publishing.py
@@ -4,7 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from comfreyarch_core.checking import Fault, RawSet, check
+from comfreyarch_core.checking import check
+from comfreyarch_core.configset import RawSet
+from comfreyarch_core.faults import Fault
 from comfreyarch_core.revisions import (
     Delta,
     apply_delta,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/reporting.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from comfreyarch_core.burn import Tally
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.refusals import Refusal
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.requests import CallerRequest
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
@@ -9,7 +9,7 @@
 
 import xxhash
 
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.objects import Route, Team
 from comfreyarch_core.refusals import Kind, Refusal, not_run
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/roles.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/roles.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from comfreyarch_core import frames
-from comfreyarch_core.checking import ConfigSet
+from comfreyarch_core.configset import ConfigSet
 from comfreyarch_daemon.store import (
     Instance,
 )
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -6,7 +6,7 @@
 import gevent
 
 from comfreyarch_core import frames, suspects
-from comfreyarch_core.checking import ConfigSet, RawSet
+from comfreyarch_core.configset import ConfigSet, RawSet
 from comfreyarch_core.suspects import make_crash_desk
 from comfreyarch_daemon.grouping import Grouping, make_seat
 from comfreyarch_daemon.logs import log_change
