Answer a given-up claim once

The daemon drops the second answer, since the attempt is gone by then; the desk no longer gives it. A test gives up twice.

--- a/packages/comfreyarch-core/src/comfreyarch_core/claims.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/claims.py
@@ -231,6 +231,8 @@
         entry = self.keys.get(self.by_attempt.get(attempt, ''))
         if entry is None:
             return self.leave(attempt)
+        if entry.given_up:
+            return []
         if entry.phase not in {Phase.claiming, Phase.unclear}:
             return []
         entry.given_up = True
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -156,6 +156,14 @@
     assert world.open_claims() == []
 
 
+def test_giving_up_twice_answers_once() -> None:
+    world = ClaimWorld()
+    world.ask(0, 'a1', 'k')
+    for _ in range(2):
+        world.tell(0, claimmessages.GiveUp('a1'))
+    world.check()
+
+
 def test_answer_is_given_before_it_is_recorded() -> None:
     world = ClaimWorld()
     world.ask(0, 'a1', 'k')
