--- a/packages/comfreyarch-core/src/comfreyarch_core/references.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/references.py
@@ -7,6 +7,7 @@
 from comfreyarch_core.faults import Fault
 
 SHA256_HEX_LENGTH = 64
+MOST_LISTED = 64
 
 
 def missing(name: str, member: str, target: str) -> Fault:
@@ -57,7 +58,7 @@
         remedy = 'give every layer the same number'
         yield Fault('', place, 'layers', 'does not divide experts', remedy)
     if placed != wanted:
-        odd = sorted(placed ^ wanted)[:SHA256_HEX_LENGTH]
+        odd = sorted(placed ^ wanted)[:MOST_LISTED]
         yield Fault(
             '',
             place,
