--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -16,28 +16,14 @@
 from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.reporting import Outcomes
+from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.requests import (
     BadRequest,
     CallerRequest,
     RequestReader,
 )
 
-REASONS = {
-    200: 'OK',
-    400: 'Bad Request',
-    401: 'Unauthorized',
-    404: 'Not Found',
-    409: 'Conflict',
-    413: 'Content Too Large',
-    422: 'Unprocessable Content',
-    429: 'Too Many Requests',
-    499: 'Client Closed Request',
-    502: 'Bad Gateway',
-    503: 'Service Unavailable',
-    504: 'Gateway Timeout',
-}
 OK_STATUS = 200
-StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 
 class Aborted(Exception):
@@ -222,14 +208,6 @@
         self.on_close()
 
 
-def status_line(status: int) -> str:
-    """Write a status with its reason.
-
-    :returns: such as ``200 OK``.
-    """
-    return f'{status} {REASONS.get(status, "Status")}'
-
-
 def explain(refusal: Refusal, request: str) -> bytes:
     """Write a refusal as JSON.
 
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -0,0 +1,399 @@
+"""Be an entry that sends to upstreams directly, without sidecars."""
+
+import json
+from collections.abc import Generator, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from comfreyarch_core.placing import make_placer
+from comfreyarch_core.refusals import Kind, Refusal, not_run
+from comfreyarch_core.retryshare import RetryLimits
+from comfreyarch_core.routetable import CallerLimits, Route, RouteTable, Team
+from comfreyarch_core.upstreamlist import UpstreamEntry
+from comfreyarch_daemon.statuslines import StartResponse, status_line
+from comfreyarch_daemon.callersite import (
+    HANDLER_KEY,
+    CallerGone,
+    CallerHandler,
+    CallerWatch,
+)
+from comfreyarch_daemon.dialect import CallHead, Dialect, Headers
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.forwarding import (
+    Begin,
+    Call,
+    CutOff,
+    Forwarder,
+    GaveUp,
+    Piece,
+)
+from comfreyarch_daemon.listening import open_listener
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+# Urgency of an upstream's queue for the best priority of a caller.
+URGENCIES = 10
+DEFAULT_PRIORITY = 5
+START_RETRY_AFTER_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class DirectSettings:
+    """Hold the settings of a direct entry, passed down and never changed.
+
+    Addresses are ``host:port``, times are in seconds.
+
+    :param grace_s: time from a stop signal to the process's end.
+    """
+
+    node: str
+    availability_zone: str
+    callers: str
+    readiness: str
+    metrics: str
+    store: str
+    retries: RetryLimits
+    grace_s: float
+    seed: int
+
+
+class RefusedCall(Exception):
+    """Refuse a request before anything was sent."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        """Hold the refusal."""
+        super().__init__(refusal.kind.value)
+        self.refusal = refusal
+
+
+class DirectEntry:
+    """Take callers' requests and forward them.
+
+    :param table: the configuration in force, None before the first.
+    :param open_requests: requests under way.
+    """
+
+    __slots__ = (
+        'dialect',
+        'forwarder',
+        'idle_sockets',
+        'leaving',
+        'log',
+        'metrics',
+        'open_requests',
+        'refuses',
+        'server',
+        'settings',
+        'table',
+    )
+
+    def __init__(
+        self,
+        settings: DirectSettings,
+        dialect: Dialect,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Build all parts; nothing runs before ``start``."""
+        self.settings = settings
+        self.dialect = dialect
+        self.log = log
+        self.metrics = metrics
+        placer = make_placer(settings.availability_zone, settings.seed)
+        self.forwarder = Forwarder(
+            dialect,
+            placer,
+            settings.retries,
+            log,
+            metrics,
+        )
+        self.table: RouteTable | None = None
+        self.open_requests = 0
+        self.leaving = False
+        self.refuses = False
+        self.idle_sockets: set[Any] = set()
+        self.server = WSGIServer(
+            open_listener(settings.callers),
+            self,
+            log=None,
+            error_log=None,
+            handler_class=CallerHandler,
+        )
+
+    def start(self) -> None:
+        """Start taking callers."""
+        self.server.start()
+
+    def close(self) -> None:
+        """Stop taking callers and close idle connections."""
+        self.server.stop_accepting()
+        for sock in list(self.idle_sockets):
+            sock.close()
+        self.forwarder.close()
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Give what callers may send."""
+        return self.table.limits if self.table is not None else CallerLimits()
+
+    def configured(self, table: RouteTable) -> None:
+        """Take a new configuration; versions only rise."""
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self.log.write(
+            'configuration',
+            version=table.version,
+            routes=sum(len(prefixes) for prefixes in table.hosts.values()),
+            keys=len(table.teams),
+        )
+
+    def listed(self, entries: Iterable[UpstreamEntry]) -> None:
+        """Take the present upstreams."""
+        kept = list(entries)
+        self.forwarder.placer.know(kept)
+        self.forwarder.pool.keep_only({entry.name for entry in kept})
+
+    def ready(self) -> bool:
+        """Tell whether new callers should come here.
+
+        :returns: False before the first configuration and when leaving.
+        """
+        return self.table is not None and not self.leaving
+
+    def bad_input(self) -> None:
+        """Count a request that could not be read."""
+        self.metrics.count('bad_input')
+
+    def idle(self, sock: Any, *, idle: bool) -> None:
+        """Follow which callers' connections wait for a request."""
+        if idle:
+            self.idle_sockets.add(sock)
+        else:
+            self.idle_sockets.discard(sock)
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request: the WSGI application.
+
+        :returns: the body.
+        """
+        began = boot_time()
+        handler: CallerHandler = environ[HANDLER_KEY]
+        headers = list(handler.headers.items())
+        head = self.dialect.read_call(headers)
+        closing = [('Connection', 'close')] if self.leaving else []
+        own = [*closing, *self.dialect.attempt_headers(head)]
+        try:
+            call = self.read(environ, head, began)
+        except RefusedCall as error:
+            return self.refuse(error.refusal, head, own, start_response)
+        return self.respond(call, handler, closing, start_response)
+
+    def read(
+        self,
+        environ: dict[str, Any],
+        head: CallHead,
+        began: float,
+    ) -> Call:
+        """Match a request and read its body.
+
+        :raises RefusedCall: where it is not forwarded.
+        """
+        handler: CallerHandler = environ[HANDLER_KEY]
+        table = self.table
+        if table is None or self.refuses:
+            kind = Kind.leaving if self.refuses else Kind.not_ready
+            raise RefusedCall(not_run(kind, START_RETRY_AFTER_S))
+        host = environ.get('HTTP_HOST', '').partition(':')[0]
+        route = table.match(host, handler.path)
+        if route is None:
+            raise RefusedCall(not_run(Kind.unknown_route))
+        team = self.team(table, route, head)
+        body = self.read_body(environ, table.limits)
+        left_s = route.timeout_s
+        if head.left_s is not None:
+            left_s = min(left_s, head.left_s)
+        return Call(
+            handler.command,
+            handler.path,
+            body,
+            head,
+            route,
+            self.service(route),
+            team.name if team is not None else '',
+            urgency(route, team),
+            began,
+            began + left_s,
+        )
+
+    def team(
+        self,
+        table: RouteTable,
+        route: Route,
+        head: CallHead,
+    ) -> Team | None:
+        """Find the team that a request belongs to.
+
+        :raises RefusedCall: for an unknown key.
+        """
+        if not table.asks_keys or route.public:
+            return None
+        team = table.team_of(head.key)
+        if team is None:
+            raise RefusedCall(not_run(Kind.unauthorized))
+        return team
+
+    def read_body(
+        self,
+        environ: dict[str, Any],
+        limits: CallerLimits,
+    ) -> bytes:
+        """Read the whole body.
+
+        :raises RefusedCall: where it is too large.
+        """
+        if int(environ.get('CONTENT_LENGTH') or 0) > limits.body_bytes:
+            raise RefusedCall(not_run(Kind.too_large))
+        body: bytes = environ['wsgi.input'].read(limits.body_bytes + 1)
+        if len(body) > limits.body_bytes:
+            raise RefusedCall(not_run(Kind.too_large))
+        return body
+
+    def service(self, route: Route) -> str:
+        """Draw a service by the route's weights.
+
+        :returns: its name.
+        """
+        shares = route.services
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        names = [share.service for share in shares]
+        return self.forwarder.source.choices(names, weights)[0]
+
+    def respond(
+        self,
+        call: Call,
+        handler: CallerHandler,
+        closing: Headers,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Forward a request and pass its answer on."""
+        self.open_requests += 1
+        watch = CallerWatch(handler.socket, lambda: self.caller_left(call))
+        watch.start()
+        pieces = self.forwarder.answer(call)
+        body = self.pass_on(call, pieces, watch)
+        try:
+            begin = next(body)
+        except GaveUp as error:
+            own = [*closing, *self.dialect.attempt_headers(call.head)]
+            return self.refuse(error.refusal, call.head, own, start_response)
+        if not isinstance(begin, Begin):
+            raise TypeError('an answer begins with its head')
+        headers = [*begin.headers, *closing]
+        if begin.length is not None:
+            headers.append(('Content-Length', str(begin.length)))
+        start_response(status_line(begin.status), headers)
+        return body  # type: ignore[return-value]
+
+    def pass_on(
+        self,
+        call: Call,
+        pieces: Generator[Piece, None, None],
+        watch: CallerWatch,
+    ) -> Generator[Piece, None, None]:
+        """Yield an answer's pieces; end all that belongs to it afterwards.
+
+        :raises ConnectionResetError: to abort a transfer midway.
+        """
+        outcome = 'caller_left'
+        status = 0
+        try:
+            for piece in pieces:
+                if isinstance(piece, Begin):
+                    status = piece.status
+                yield piece
+            outcome = 'answered'
+        except GaveUp as error:
+            outcome = error.refusal.kind.value
+            status = error.refusal.status
+            raise
+        except CutOff as error:
+            outcome = 'cut_off'
+            raise ConnectionResetError(str(error)) from error
+        finally:
+            watch.close()
+            pieces.close()
+            self.open_requests -= 1
+            self.ended(call, outcome, status)
+
+    def ended(self, call: Call, outcome: str, status: int) -> None:
+        """Log and count how a request ended."""
+        took_s = boot_time() - call.began
+        self.metrics.count('requests', outcome=outcome)
+        self.metrics.record('request', took_s)
+        self.log.write(
+            'ended',
+            request=call.head.attempt,
+            route=call.route.name,
+            team=call.team,
+            outcome=outcome,
+            status=status,
+            took_s=round(took_s, 3),
+            version=self.table.version if self.table else 0,
+        )
+
+    def caller_left(self, call: Call) -> None:
+        """Log that a caller went away."""
+        self.log.write('caller_left', request=call.head.attempt)
+
+    def refuse(
+        self,
+        refusal: Refusal,
+        head: CallHead,
+        headers: Headers,
+        start_response: StartResponse,
+    ) -> list[bytes]:
+        """Answer with a refusal, at once.
+
+        :returns: the body.
+        """
+        self.metrics.count('refused', kind=refusal.kind.value)
+        self.log.write(
+            'refused',
+            request=head.attempt,
+            kind=refusal.kind.value,
+            ran=refusal.ran.value,
+            retry_after_s=refusal.retry_after_s,
+            version=self.table.version if self.table else 0,
+        )
+        told = {'error': refusal.kind.value, 'remedy': refusal.remedy}
+        body = json.dumps(told).encode()
+        sent = [
+            *headers,
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(body))),
+        ]
+        if refusal.retry_after_s > 0:
+            sent.append(('Retry-After', f'{refusal.retry_after_s:.3f}'))
+        start_response(status_line(refusal.status), sent)
+        return [body]
+
+
+def urgency(route: Route, team: Team | None) -> int:
+    """Give the urgency of a request for an upstream's queue.
+
+    :returns: 0 for the most urgent to 9.
+    """
+    priority = route.priority
+    if team is not None and team.priority is not None:
+        priority = team.priority
+    return max(0, min(URGENCIES - 1, priority))
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -0,0 +1,335 @@
+"""Run a direct entry: its tables, addresses, signals and end."""
+
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.event import Event
+from gevent.pywsgi import WSGIServer
+
+from comfreyarch_core.routetable import RouteTable
+from comfreyarch_core.tablebelief import Change
+from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
+from comfreyarch_daemon.statuslines import StartResponse, status_line
+from comfreyarch_daemon.dialect import Dialect
+from comfreyarch_daemon.directentry import DirectEntry, DirectSettings
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.listening import QuietHandler, open_listener
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.tablewatch import TableSource, TableWatch
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+EXIT_SETTINGS = 2
+GC_THRESHOLDS = (20_000, 20, 20)
+# How often lapsed entries, idle connections and the settings are looked at.
+TICK_S = 0.5
+# The balancer in front notices a leaving entry within about this time.
+ROTATION_S = 3.0
+# Part of the grace after which new requests are refused and idle
+# connections are closed.
+END_CHECK_S = 0.05
+# Kept free before the platform's forced end.
+GRACE_MARGIN_S = 0.6
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """Hold what a platform's adapter provides."""
+
+    read_settings: Callable[[Path], DirectSettings]
+    dialect: Dialect
+    readiness_path: str
+    open_configuration: Callable[[DirectSettings], TableSource]
+    open_upstreams: Callable[[DirectSettings], TableSource]
+    configuration_key: str
+    decode_configuration: Callable[[bytes], RouteTable]
+    decode_upstream: Callable[[str, bytes], UpstreamEntry]
+
+
+class ConfigurationListener:
+    """Take configurations from the store."""
+
+    __slots__ = ('adapter', 'entry', 'log')
+
+    def __init__(self, adapter: Adapter, entry: DirectEntry) -> None:
+        """Hold where configurations go."""
+        self.adapter = adapter
+        self.entry = entry
+        self.log = entry.log
+
+    def changed(self, change: Change) -> None:
+        """Take the configuration's row."""
+        for row in change.rows:
+            if row.key != self.adapter.configuration_key:
+                continue
+            try:
+                table = self.adapter.decode_configuration(row.content)
+            except ValueError as error:
+                self.log.write('configuration_unreadable', why=str(error))
+                continue
+            self.entry.configured(table)
+
+    def store_lost(self) -> None:
+        """Go on with the configuration that is known."""
+
+    def store_back(self) -> None:
+        """Take what comes."""
+
+
+class UpstreamsListener:
+    """Take upstreams from the store."""
+
+    __slots__ = ('adapter', 'entry', 'known', 'log', 'malformed')
+
+    def __init__(self, adapter: Adapter, entry: DirectEntry) -> None:
+        """Hold where upstreams go."""
+        self.adapter = adapter
+        self.entry = entry
+        self.log = entry.log
+        self.known = make_upstream_list()
+        self.malformed: set[str] = set()
+
+    def changed(self, change: Change) -> None:
+        """Take rows of upstreams."""
+        for row in change.rows:
+            self.take(row.key, row.content)
+        now = boot_time()
+        for key in change.removed:
+            self.known.drop(key, now)
+            self.log.write(
+                'upstream_removed',
+                upstream=key,
+                kept=key in self.known.entries,
+            )
+        self.entry.listed(self.known.entries.values())
+
+    def take(self, key: str, content: bytes) -> None:
+        """Take one row; a malformed one is logged once."""
+        try:
+            entry = self.adapter.decode_upstream(key, content)
+        except ValueError as error:
+            if key not in self.malformed:
+                self.malformed.add(key)
+                self.log.write('upstream_unreadable', why=str(error))
+            return
+        known = self.known.entries.get(key)
+        self.known.change(entry)
+        if known is None or known.leaving != entry.leaving:
+            self.log.write(
+                'upstream_listed',
+                upstream=key,
+                service=entry.service,
+                address=entry.address,
+                leaving=entry.leaving,
+            )
+
+    def store_lost(self) -> None:
+        """Keep entries that lapse until the store is back."""
+        self.known.store_lost()
+
+    def store_back(self) -> None:
+        """Begin the time in which lapsed entries come back."""
+        self.known.store_back(boot_time())
+
+    def tick(self) -> None:
+        """Drop what is still missing."""
+        gone = self.known.expire(boot_time())
+        if gone:
+            self.log.write('upstreams_lapsed', upstreams=gone)
+            self.entry.listed(self.known.entries.values())
+
+
+class DirectNode:
+    """Own a direct entry and all that runs around it."""
+
+    __slots__ = (
+        'adapter',
+        'entry',
+        'log',
+        'metrics',
+        'path',
+        'settings',
+        'stopped',
+        'stopping',
+        'ticker',
+        'upstreams',
+        'watches',
+        'www',
+    )
+
+    def __init__(self, adapter: Adapter, path: Path) -> None:
+        """Build all parts; nothing runs before ``start``."""
+        settings = adapter.read_settings(path)
+        self.adapter = adapter
+        self.path = path
+        self.settings = settings
+        self.log = EventLog(settings.node)
+        self.metrics = Metrics()
+        self.entry = DirectEntry(
+            settings,
+            adapter.dialect,
+            self.log,
+            self.metrics,
+        )
+        self.upstreams = UpstreamsListener(adapter, self.entry)
+        configurations = ConfigurationListener(adapter, self.entry)
+        self.watches = [
+            self.watch(
+                'configuration',
+                adapter.open_configuration(settings),
+                configurations,
+            ),
+            self.watch(
+                'upstreams',
+                adapter.open_upstreams(settings),
+                self.upstreams,
+            ),
+        ]
+        self.www = [
+            self.serve(settings.readiness, self.answer_readiness),
+            self.serve(settings.metrics, self.answer_metrics),
+        ]
+        self.ticker: gevent.Greenlet | None = None
+        self.stopped = Event()
+        self.stopping = False
+
+    def watch(self, name: str, table: TableSource, listener: Any) -> TableWatch:
+        """Make the watch of a table.
+
+        :returns: the watch, not yet started.
+        """
+        return TableWatch(name, table, listener, self.log, self.metrics)
+
+    def serve(self, address: str, application: Any) -> WSGIServer:
+        """Make a server of small pages.
+
+        :returns: the server, not yet started.
+        """
+        return WSGIServer(
+            open_listener(address),
+            application,
+            log=None,
+            error_log=None,
+            handler_class=QuietHandler,
+        )
+
+    def start(self) -> None:
+        """Start all parts."""
+        self.log.write('start', settings=str(self.path))
+        for server in self.www:
+            server.start()
+        self.entry.start()
+        for watch in self.watches:
+            watch.start()
+        self.ticker = gevent.spawn(self.tick)
+
+    def close(self) -> None:
+        """Stop all parts."""
+        if self.ticker is not None:
+            self.ticker.kill(block=False)
+        for watch in self.watches:
+            watch.close()
+        self.entry.close()
+        for server in self.www:
+            server.stop_accepting()
+        self.log.write('stop', open_requests=self.entry.open_requests)
+        self.stopped.set()
+
+    def tick(self) -> None:
+        """Do what is due now and then."""
+        while True:
+            gevent.sleep(TICK_S)
+            self.upstreams.tick()
+            self.entry.forwarder.pool.trim()
+
+    def reload(self) -> None:
+        """Read the settings anew; one that is unusable changes nothing."""
+        try:
+            settings = self.adapter.read_settings(self.path)
+        except SettingsError as error:
+            self.log.write('reload_failed', why=str(error))
+            return
+        self.log.write('reload', changed=settings != self.settings)
+        self.settings = settings
+        self.entry.forwarder.limits = settings.retries
+
+    def terminate(self) -> None:
+        """Begin a graceful stop, once."""
+        if not self.stopping:
+            self.stopping = True
+            gevent.spawn(self.drain)
+
+    def drain(self) -> None:
+        """Finish the work at hand, then stop.
+
+        New requests are taken until the balancer in front has turned away.
+        """
+        began = boot_time()
+        end = began + self.settings.grace_s - GRACE_MARGIN_S
+        self.entry.leaving = True
+        self.log.write('stopping', open_requests=self.entry.open_requests)
+        gevent.sleep(ROTATION_S)
+        self.entry.refuses = True
+        while self.entry.open_requests and boot_time() < end:
+            gevent.sleep(END_CHECK_S)
+        self.close()
+
+    def answer_readiness(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> list[bytes]:
+        """Tell the balancer in front whether to send callers here.
+
+        :returns: an empty body.
+        """
+        ready = self.entry.ready()
+        if environ['PATH_INFO'] != self.adapter.readiness_path:
+            start_response(status_line(404), [('Content-Length', '0')])
+            return []
+        status = status_line(200 if ready else 503)
+        start_response(status, [('Content-Length', '0')])
+        return []
+
+    def answer_metrics(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> list[bytes]:
+        """Give counters and histograms as text.
+
+        :returns: the page.
+        """
+        page = self.metrics.text()
+        start_response(
+            status_line(200),
+            [
+                ('Content-Type', 'text/plain; version=0.0.4'),
+                ('Content-Length', str(len(page))),
+            ],
+        )
+        return [page]
+
+
+def run_entry(adapter: Adapter, path: Path) -> None:
+    """Run a direct entry until a signal stops it.
+
+    :param path: the platform's settings file.
+    """
+    gc.set_threshold(*GC_THRESHOLDS)
+    try:
+        node = DirectNode(adapter, path)
+    except (SettingsError, OSError) as error:
+        sys.stderr.write(f'comfreyarch: {error}\n')
+        sys.exit(EXIT_SETTINGS)
+    gevent.signal_handler(signal.SIGTERM, node.terminate)
+    gevent.signal_handler(signal.SIGINT, node.terminate)
+    gevent.signal_handler(signal.SIGHUP, node.reload)
+    node.start()
+    node.stopped.wait()
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -0,0 +1,182 @@
+"""Follow tables of the store with one long call each."""
+
+import random
+from typing import Protocol
+
+import gevent
+
+from comfreyarch_core.tablebelief import (
+    Change,
+    TableState,
+    make_table_belief,
+)
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.metrics import Metrics
+
+# Calls are priced, so waiting is long; probes find dead connections sooner.
+WAIT_S = 20.0
+# Pauses between calls to a store that does not answer.
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+# A stale reading is tried again after this time.
+STALE_RETRY_S = 0.25
+
+
+class StoreAway(Exception):
+    """Report that the store did not answer, and how."""
+
+
+class HistoryGone(Exception):
+    """Report that the store no longer has the changes asked for."""
+
+
+class TableSource(Protocol):
+    """Read one table of a store; a platform's adapter fills it."""
+
+    def read(self) -> TableState:
+        """Read the whole table.
+
+        :raises StoreAway: where the store does not answer.
+        """
+
+    def changes(self, after: int, wait_s: float) -> TableState:
+        """Wait for changes after a version.
+
+        :raises StoreAway: where the store does not answer.
+        :raises HistoryGone: where a whole reading is needed.
+        """
+
+    def close(self) -> None:
+        """Close the connection; a call under way fails."""
+
+
+class TableListener(Protocol):
+    """Take what a watch finds."""
+
+    def changed(self, change: Change) -> None:
+        """Take rows that changed."""
+
+    def store_lost(self) -> None:
+        """Note that the store does not answer."""
+
+    def store_back(self) -> None:
+        """Note that the store answers again."""
+
+
+class TableWatch:
+    """Follow one table for as long as it runs."""
+
+    __slots__ = (
+        'away',
+        'belief',
+        'listener',
+        'log',
+        'metrics',
+        'name',
+        'retry_s',
+        'source',
+        'table',
+        'worker',
+    )
+
+    def __init__(
+        self,
+        name: str,
+        table: TableSource,
+        listener: TableListener,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Name what is followed; nothing runs before ``start``."""
+        self.name = name
+        self.table = table
+        self.listener = listener
+        self.log = log
+        self.metrics = metrics
+        self.belief = make_table_belief()
+        self.away = False
+        self.retry_s = FIRST_RETRY_S
+        self.source = random.Random(name)
+        self.worker: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Start following."""
+        self.worker = gevent.spawn(self.run)
+
+    def close(self) -> None:
+        """Stop following."""
+        if self.worker is not None:
+            self.worker.kill(block=False)
+        self.table.close()
+
+    def run(self) -> None:
+        """Call the store again and again."""
+        while True:
+            try:
+                self.step()
+            except StoreAway as error:
+                self.lost(str(error))
+                gevent.sleep(self.retry_s * self.source.uniform(0.7, 1.3))
+                self.retry_s = min(LONGEST_RETRY_S, self.retry_s * 2)
+
+    def step(self) -> None:
+        """Make one call.
+
+        :raises StoreAway: where the store does not answer.
+        """
+        self.metrics.count('store_calls', table=self.name)
+        if self.belief.whole:
+            self.read()
+            return
+        try:
+            state = self.table.changes(self.belief.version, WAIT_S)
+        except HistoryGone:
+            self.log.write('history_gone', table=self.name)
+            self.belief.history_lost()
+            return
+        self.answered()
+        change = self.belief.changed(state)
+        if change.rows or change.removed:
+            self.listener.changed(change)
+
+    def read(self) -> None:
+        """Read the whole table.
+
+        :raises StoreAway: where the store does not answer.
+        """
+        state = self.table.read()
+        change = self.belief.read(state)
+        if change is None:
+            self.log.write(
+                'stale_read',
+                table=self.name,
+                version=state.version,
+                known=self.belief.version,
+            )
+            gevent.sleep(STALE_RETRY_S)
+            return
+        self.answered()
+        self.listener.changed(change)
+
+    def answered(self) -> None:
+        """Note that the store answered."""
+        self.retry_s = FIRST_RETRY_S
+        if not self.away:
+            return
+        self.away = False
+        self.log.write('store_back', table=self.name)
+        self.listener.store_back()
+
+    def lost(self, why: str) -> None:
+        """Note that the store did not answer."""
+        self.metrics.count('store_failures', table=self.name)
+        if self.away:
+            return
+        self.away = True
+        self.log.write(
+            'store_lost',
+            table=self.name,
+            why=why,
+            version=self.belief.version,
+        )
+        self.listener.store_lost()
