Tell in-flight counts between entries; wait at the entry for a free slot

Ruled out: slow steps as the cause of the late first events (the longest pause between events stayed under 120 ms for those requests).

--- a/packages/comfreyarch-core/src/comfreyarch_core/placing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/placing.py
@@ -1,18 +1,21 @@
 """Choose an upstream for a request that goes to it directly.
 
-An entry knows its own requests at each upstream, and from answers how many
-requests all entries had there a moment ago. It sends to where the fewest
-are expected for each slot, and leaves out upstreams that lately failed.
+An entry knows its own requests at each upstream, and from the other entries
+theirs. What an upstream reports beyond that belongs to entries that are
+gone; it fades. A request goes to where the fewest are for each slot, and
+waits where all slots are taken. Upstreams that lately failed are left out.
 """
 
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
-# A load report loses half of its weight in this time.
-REPORT_HALF_LIFE_S = 0.5
+# Requests that an upstream reports and no entry tells of lose half of their
+# weight in this time.
+STRAY_HALF_LIFE_S = 0.7
 # Load, as a share of the slots, by which the own zone is preferred.
 NEAR_BONUS = 0.08
 # Pauses after failures in a row: the first, and the longest.
@@ -41,29 +44,26 @@
     """Hold what an entry believes of one upstream.
 
     :param in_flight: own requests there now.
-    :param others: requests of other entries at the last report.
+    :param strays: requests there that no entry tells of, when reported.
     :param failed_share: share of late outcomes that were failures.
-    :param paused_until: no new request before, unless nobody else is left.
+    :param paused_until: no new request before.
     """
 
     entry: UpstreamEntry
     in_flight: int = 0
-    others: float = 0
+    strays: float = 0
     reported_at: float = 0
     failures: int = 0
     failed_share: float = 0
     paused_until: float = 0
 
-    def load(self, now: float) -> float:
-        """Predict the load that a further request would meet.
+    def strays_now(self, now: float) -> float:
+        """Tell the faded number of strays.
 
-        :returns: requests for each slot, grown by late failures.
+        :returns: a number of requests.
         """
         age = max(0.0, now - self.reported_at)
-        others = self.others * 0.5 ** (age / REPORT_HALF_LIFE_S)
-        slots = max(1, self.entry.slots)
-        load = (self.in_flight + others + 1) / slots
-        return load + FAILURE_LOAD * self.failed_share
+        return self.strays * 0.5 ** (age / STRAY_HALF_LIFE_S)
 
 
 @dataclass(slots=True)
@@ -76,6 +76,7 @@
 
     source: random.Random
     zone: str
+    fleet: FleetLoad = field(default_factory=make_fleet_load)
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
 
@@ -92,6 +93,21 @@
         self.views = views
         self.services = services
 
+    def total(self, view: UpstreamView, now: float) -> float:
+        """Count all requests at an upstream, as far as is known.
+
+        :returns: own, other entries' and stray requests.
+        """
+        others = self.fleet.others(view.entry.name)
+        return view.in_flight + others + view.strays_now(now)
+
+    def has_room(self, view: UpstreamView, now: float) -> bool:
+        """Tell whether a slot is free at an upstream.
+
+        :returns: False where a further request would wait there.
+        """
+        return self.total(view, now) < view.entry.slots
+
     def choose(
         self,
         service: str,
@@ -101,16 +117,15 @@
         """Choose the upstream with the lowest predicted load.
 
         :param avoid: names that this request was sent to before.
-        :returns: None where the service has no upstream left.
+        :returns: None where none has a free slot.
         """
-        views = [
+        ready = [
             view
             for view in self.services.get(service, ())
             if view.entry.name not in avoid
+            and view.paused_until <= now
+            and self.has_room(view, now)
         ]
-        ready = [view for view in views if view.paused_until <= now]
-        if not ready and views:
-            return min(views, key=lambda view: view.paused_until)
         if not ready:
             return None
         self.source.shuffle(ready)
@@ -119,18 +134,21 @@
     def price(self, view: UpstreamView, now: float) -> float:
         """Price a candidate.
 
-        :returns: its load, less the preference for the own zone.
+        :returns: its load for each slot, grown by late failures, less the
+            preference for the own zone.
         """
         near = view.entry.availability_zone == self.zone
-        return view.load(now) - (NEAR_BONUS if near else 0)
+        load = (self.total(view, now) + 1) / max(1, view.entry.slots)
+        load += FAILURE_LOAD * view.failed_share
+        return load - (NEAR_BONUS if near else 0)
 
     def reported(self, name: str, report: LoadReport, now: float) -> None:
         """Take a load report that came with an answer."""
         view = self.views.get(name)
         if view is None:
             return
-        total = report.running + report.waiting
-        view.others = max(0, total - view.in_flight)
+        known = view.in_flight + self.fleet.others(name)
+        view.strays = max(0, report.running + report.waiting - known)
         view.reported_at = now
 
     def rejected(self, name: str, now: float) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callersite.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callersite.py
@@ -145,4 +145,4 @@
         if peeked:
             return
         self.on_gone()
-        gevent.kill(self.greenlet, CallerGone('the caller left'), block=False)
+        gevent.kill(self.greenlet, CallerGone('the caller left'))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -21,6 +21,7 @@
     CallerWatch,
 )
 from comfreyarch_daemon.dialect import CallHead, Dialect, Headers
+from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.forwarding import (
     Begin,
@@ -54,6 +55,7 @@
     callers: str
     readiness: str
     metrics: str
+    peers: str
     store: str
     retries: RetryLimits
     grace_s: float
@@ -69,6 +71,32 @@
         self.refusal = refusal
 
 
+class Pace:
+    """Follow how fast an answer is passed on; times are in seconds.
+
+    :param first_s: from the request to the first bytes of the body.
+    :param longest_gap_s: longest pause after them.
+    """
+
+    __slots__ = ('began', 'first_s', 'last', 'longest_gap_s')
+
+    def __init__(self, began: float) -> None:
+        """Start at the request."""
+        self.began = began
+        self.last = 0.0
+        self.first_s: float | None = None
+        self.longest_gap_s = 0.0
+
+    def passed(self, now: float) -> None:
+        """Note that bytes were passed on."""
+        if self.first_s is None:
+            self.first_s = round(now - self.began, 3)
+        else:
+            gap = round(now - self.last, 3)
+            self.longest_gap_s = max(self.longest_gap_s, gap)
+        self.last = now
+
+
 class DirectEntry:
     """Take callers' requests and forward them.
 
@@ -78,6 +106,7 @@
 
     __slots__ = (
         'dialect',
+        'dispatcher',
         'forwarder',
         'idle_sockets',
         'leaving',
@@ -103,9 +132,10 @@
         self.log = log
         self.metrics = metrics
         placer = make_placer(settings.availability_zone, settings.seed)
+        self.dispatcher = Dispatcher(placer)
         self.forwarder = Forwarder(
             dialect,
-            placer,
+            self.dispatcher,
             settings.retries,
             log,
             metrics,
@@ -125,6 +155,7 @@
 
     def start(self) -> None:
         """Start taking callers."""
+        self.dispatcher.start()
         self.server.start()
 
     def close(self) -> None:
@@ -133,6 +164,7 @@
         for sock in list(self.idle_sockets):
             sock.close()
         self.forwarder.close()
+        self.dispatcher.close()
 
     @property
     def limits(self) -> CallerLimits:
@@ -155,6 +187,7 @@
         """Take the present upstreams."""
         kept = list(entries)
         self.forwarder.placer.know(kept)
+        self.dispatcher.pump()
         self.forwarder.pool.keep_only({entry.name for entry in kept})
 
     def ready(self) -> bool:
@@ -316,10 +349,13 @@
         """
         outcome = 'caller_left'
         status = 0
+        pace = Pace(call.began)
         try:
             for piece in pieces:
                 if isinstance(piece, Begin):
                     status = piece.status
+                else:
+                    pace.passed(boot_time())
                 yield piece
             outcome = 'answered'
         except GaveUp as error:
@@ -333,9 +369,9 @@
             watch.close()
             pieces.close()
             self.open_requests -= 1
-            self.ended(call, outcome, status)
+            self.ended(call, outcome, status, pace)
 
-    def ended(self, call: Call, outcome: str, status: int) -> None:
+    def ended(self, call: Call, outcome: str, status: int, pace: Pace) -> None:
         """Log and count how a request ended."""
         took_s = boot_time() - call.began
         self.metrics.count('requests', outcome=outcome)
@@ -347,6 +383,8 @@
             team=call.team,
             outcome=outcome,
             status=status,
+            first_s=pace.first_s,
+            longest_gap_s=pace.longest_gap_s,
             took_s=round(took_s, 3),
             version=self.table.version if self.table else 0,
         )
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -21,8 +21,15 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.peerload import PeerLoad, Peers
 from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.tablewatch import TableSource, TableWatch
+from comfreyarch_daemon.tablewatch import (
+    FIRST_RETRY_S,
+    LONGEST_RETRY_S,
+    StoreAway,
+    TableSource,
+    TableWatch,
+)
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 EXIT_SETTINGS = 2
@@ -34,6 +41,8 @@
 # Part of the grace after which new requests are refused and idle
 # connections are closed.
 END_CHECK_S = 0.05
+# How often the entries are listed; they hear of new ones by themselves.
+PEERS_S = 60.0
 # Kept free before the platform's forced end.
 GRACE_MARGIN_S = 0.6
 
@@ -47,6 +56,7 @@
     readiness_path: str
     open_configuration: Callable[[DirectSettings], TableSource]
     open_upstreams: Callable[[DirectSettings], TableSource]
+    open_peers: Callable[[DirectSettings], Peers]
     configuration_key: str
     decode_configuration: Callable[[bytes], RouteTable]
     decode_upstream: Callable[[str, bytes], UpstreamEntry]
@@ -154,12 +164,14 @@
         'log',
         'metrics',
         'path',
+        'peer_load',
+        'peers',
         'settings',
         'stopped',
         'stopping',
-        'ticker',
         'upstreams',
         'watches',
+        'workers',
         'www',
     )
 
@@ -195,7 +207,18 @@
             self.serve(settings.readiness, self.answer_readiness),
             self.serve(settings.metrics, self.answer_metrics),
         ]
-        self.ticker: gevent.Greenlet | None = None
+        dispatcher = self.entry.dispatcher
+        self.peers = adapter.open_peers(settings)
+        self.peer_load = PeerLoad(
+            settings.node,
+            settings.peers,
+            dispatcher.placer.fleet,
+            dispatcher.news,
+            dispatcher.pump,
+            self.log,
+        )
+        dispatcher.changed = self.peer_load.changed.set
+        self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
         self.stopping = False
 
@@ -227,12 +250,14 @@
         self.entry.start()
         for watch in self.watches:
             watch.start()
-        self.ticker = gevent.spawn(self.tick)
+        self.peer_load.start()
+        self.workers = [gevent.spawn(self.tick), gevent.spawn(self.find_peers)]
 
     def close(self) -> None:
         """Stop all parts."""
-        if self.ticker is not None:
-            self.ticker.kill(block=False)
+        for worker in self.workers:
+            worker.kill(block=False)
+        self.peer_load.close()
         for watch in self.watches:
             watch.close()
         self.entry.close()
@@ -248,6 +273,24 @@
             self.upstreams.tick()
             self.entry.forwarder.pool.trim()
 
+    def find_peers(self) -> None:
+        """Make this entry known and learn of the others, now and then."""
+        pause = FIRST_RETRY_S
+        while True:
+            try:
+                self.peers.join(self.settings.node, self.settings.peers)
+                members = self.peers.members()
+            except StoreAway as error:
+                self.log.write('peers_unknown', why=str(error))
+                gevent.sleep(pause)
+                pause = min(LONGEST_RETRY_S, pause * 2)
+                continue
+            self.peer_load.know(members)
+            self.entry.forwarder.entries = max(1, len(members))
+            self.log.write('peers_listed', peers=len(members))
+            pause = FIRST_RETRY_S
+            gevent.sleep(PEERS_S)
+
     def reload(self) -> None:
         """Read the settings anew; one that is unusable changes nothing."""
         try:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -10,10 +10,11 @@
     HandOver,
     make_hand_over,
 )
-from comfreyarch_core.placing import Placer, UpstreamView
+from comfreyarch_core.placing import UpstreamView
 from comfreyarch_core.refusals import Kind, Refusal
 from comfreyarch_core.retryshare import RetryLimits, RetryShare, make_retry_share
 from comfreyarch_core.routetable import Route, RouteKind
+from comfreyarch_core.waitline import Waiter
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.dialect import (
     AnswerHead,
@@ -22,6 +23,7 @@
     Headers,
     SendFacts,
 )
+from comfreyarch_daemon.dispatching import Dispatcher, NoPlace
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.upstreamcalls import (
@@ -44,8 +46,18 @@
 SILENT_TARGETS = 2.5
 # Shortest silence of that kind: engines pause for preempted work.
 SHORTEST_SILENCE_S = 0.7
-# When to come back after a refusal.
-RETRY_AFTER_S = 0.5
+# Bounds of the time after which a refused caller may come back.
+SHORTEST_RETRY_AFTER_S = 0.2
+RETRY_AFTER_SHARE = 0.3
+# A caller of a stream leaves after a pause, before its first event too: the
+# longest of this, some objectives and some pauses between events.
+STREAM_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
+# Time from a start at a free slot to the first bytes of an answer.
+USUAL_FIRST_S = 0.18
+# Entries to share the retry budget with before they were counted.
+UNCOUNTED_ENTRIES = 32
 
 
 class GaveUp(Exception):
@@ -124,6 +136,7 @@
 
     __slots__ = (
         'dialect',
+        'dispatcher',
         'entries',
         'limits',
         'log',
@@ -137,21 +150,22 @@
     def __init__(
         self,
         dialect: Dialect,
-        placer: Placer,
+        dispatcher: Dispatcher,
         limits: RetryLimits,
         log: EventLog,
         metrics: Metrics,
     ) -> None:
         """Take the parts that all requests share."""
         self.dialect = dialect
-        self.placer = placer
+        self.dispatcher = dispatcher
+        self.placer = dispatcher.placer
         self.limits = limits
         self.log = log
         self.metrics = metrics
         self.pool = ConnectionPool()
         self.shares: dict[str, RetryShare] = {}
-        self.entries = 1
-        self.source: random.Random = placer.source
+        self.entries = UNCOUNTED_ENTRIES
+        self.source: random.Random = self.placer.source
 
     def share(self, service: str) -> RetryShare:
         """Give the retry budget of a service.
@@ -221,17 +235,17 @@
         if send is None:
             return
         send.connection.close()
-        send.view.in_flight -= 1
+        self.forwarder.dispatcher.release(send.view)
 
     def finish(self, send: Send) -> None:
         """Give the connection back after a whole answer."""
         self.send = None
-        send.view.in_flight -= 1
         send.connection.finish()
         if send.head is not None and send.head.keep_s is not None:
             send.connection.keep_s = send.head.keep_s
         self.forwarder.placer.succeeded(send.name)
         self.forwarder.pool.give_back(send.name, send.connection)
+        self.forwarder.dispatcher.release(send.view)
 
     def run(self) -> Generator[Piece, None, None]:
         """Send until an answer is passed on whole, or give up."""
@@ -270,31 +284,59 @@
         """
         call = self.call
         forwarder = self.forwarder
-        now = boot_time()
-        tried = frozenset(self.state.tried)
-        view = forwarder.placer.choose(call.service, now, tried)
-        if view is None:
-            raise self.give_up(Kind.no_upstream)
+        view = self.place()
         name = view.entry.name
         self.target = name
-        connection = self.connect(view)
+        try:
+            connection = self.connect(view)
+        except BaseException:
+            forwarder.dispatcher.release(view)
+            raise
+        self.send = Send(view, connection)
+        now = boot_time()
         forwarder.log.write(
             'sent',
             request=call.head.attempt,
             upstream=name,
-            in_flight=view.in_flight,
-            others=round(view.others, 1),
-            report_age_s=round(now - view.reported_at, 3),
+            own=view.in_flight,
+            others=forwarder.placer.fleet.others(name),
+            strays=round(view.strays_now(now), 1),
+            slots=view.entry.slots,
             reused=connection.answered,
+            waited_s=round(now - call.began, 3),
             left_s=round(call.deadline - now, 3),
         )
-        view.in_flight += 1
-        self.send = Send(view, connection)
         request = self.encode(name)
         left_s = call.deadline - boot_time()
         connection.send(request, call.method, max(left_s, 0.001))
         return self.send
 
+    def place(self) -> UpstreamView:
+        """Get a slot at an upstream.
+
+        :raises GaveUp: where that is hopeless.
+        :raises CutOff: where it is so midway.
+        """
+        call = self.call
+        route = call.route
+        patience = call.deadline - call.began
+        if route.kind == RouteKind.streaming:
+            patience = min(patience, stream_patience_s(route))
+        waiter = Waiter(
+            call.service,
+            call.urgency,
+            call.began + route.target_s - USUAL_FIRST_S,
+            call.began + patience - USUAL_FIRST_S,
+            frozenset(self.state.tried),
+        )
+        try:
+            return self.forwarder.dispatcher.place(waiter)
+        except NoPlace as error:
+            if self.begun:
+                raise CutOff(str(error)) from error
+            kind = Kind.overloaded if error.upstreams else Kind.no_upstream
+            raise self.give_up(kind, error.retry_after_s) from error
+
     def connect(self, view: UpstreamView) -> Connection:
         """Take an idle connection, or open one.
 
@@ -381,14 +423,9 @@
             return False
         if self.forwarder.share(call.service).left(now) < 1:
             return False
-        tried = frozenset(self.state.tried)
-        views = self.forwarder.placer.services.get(call.service, ())
-        return any(
-            view.entry.name not in tried
-            and view is not (self.send and self.send.view)
-            and view.paused_until <= now
-            for view in views
-        )
+        tried = frozenset((*self.state.tried, self.target))
+        placer = self.forwarder.placer
+        return placer.choose(call.service, now, tried) is not None
 
     def drop_stray(self, send: Send, answer: Answer, head: AnswerHead) -> None:
         """Read past an answer that belongs to another request."""
@@ -537,14 +574,16 @@
         if self.failure is not None:
             self.given_back = self.failure
             return
-        raise self.give_up(Kind.overloaded)
+        raise self.give_up(Kind.overloaded, SHORTEST_RETRY_AFTER_S)
 
-    def give_up(self, kind: Kind) -> GaveUp:
+    def give_up(self, kind: Kind, retry_after_s: float) -> GaveUp:
         """Make the final answer to a request that cannot be served.
 
         :returns: the exception to raise.
         """
-        return GaveUp(self.state.refusal(kind, RETRY_AFTER_S))
+        longest = RETRY_AFTER_SHARE * (self.call.deadline - boot_time())
+        come_back = max(SHORTEST_RETRY_AFTER_S, min(retry_after_s, longest))
+        return GaveUp(self.state.refusal(kind, come_back))
 
 
 class Rejected(CallError):
@@ -570,3 +609,15 @@
         case Failed():
             return Ending.failed
     return Ending.broken
+
+
+def stream_patience_s(route: Route) -> float:
+    """Tell how long callers of a stream wait for its first event.
+
+    :returns: seconds.
+    """
+    return max(
+        STREAM_PATIENCE_S,
+        PATIENCE_TARGETS * route.target_s,
+        PATIENCE_GAPS * route.gap_target_s,
+    )
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
@@ -0,0 +1,233 @@
+"""Tell the other entries what is in flight, in datagrams.
+
+A datagram that is late or lost is worth nothing, and the next one replaces
+it; a stream would queue old news behind a lost segment.
+"""
+
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import cbor2
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from comfreyarch_core.fleetload import LOST_S, FleetLoad, LoadNews
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.settings import split_address
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+LONGEST_DATAGRAM = 65_000
+# News is told at once, but not more often than this.
+SHORTEST_GAP_S = 0.02
+# Datagrams that an entry sends a second, at most: the gap grows with peers.
+DATAGRAMS_A_SECOND = 300.0
+# News is told so often even where nothing changed.
+HEARTBEAT_S = 0.5
+# Peers that were not heard are told so often.
+LOST_HEARTBEAT_S = 2.0
+
+
+class Peers(Protocol):
+    """Keep the addresses of all entries; a platform's adapter fills it."""
+
+    def join(self, node: str, address: str) -> None:
+        """Make this entry known, and keep it known."""
+
+    def members(self) -> dict[str, str]:
+        """List the entries.
+
+        :returns: node → address.
+        """
+
+
+class PeerLoad:
+    """Exchange load news with the other entries.
+
+    :param peers: node → address, of all others known.
+    """
+
+    __slots__ = (
+        'address',
+        'changed',
+        'heard_at',
+        'incarnation',
+        'load',
+        'log',
+        'news',
+        'node',
+        'number',
+        'on_news',
+        'peers',
+        'sock',
+        'told_lost_at',
+        'workers',
+    )
+
+    def __init__(
+        self,
+        node: str,
+        address: str,
+        load: FleetLoad,
+        news: Callable[[], tuple[dict[str, int], dict[str, int]]],
+        on_news: Callable[[], None],
+        log: EventLog,
+    ) -> None:
+        """Prepare to listen on ``address``.
+
+        :param news: gives the counts in flight and waiting.
+        :param on_news: called after news of others was taken.
+        """
+        self.node = node
+        self.address = address
+        self.load = load
+        self.news = news
+        self.on_news = on_news
+        self.log = log
+        self.peers: dict[str, str] = {}
+        self.heard_at: dict[str, float] = {}
+        self.told_lost_at = 0.0
+        self.incarnation = random.SystemRandom().getrandbits(32)
+        self.number = 0
+        self.changed = Event()
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.workers: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Start listening and telling.
+
+        :raises OSError: if the address is taken.
+        """
+        self.sock.bind(split_address(self.address))
+        self.workers = [gevent.spawn(self.listen), gevent.spawn(self.tell)]
+
+    def close(self) -> None:
+        """Stop both."""
+        for worker in self.workers:
+            worker.kill(block=False)
+        self.sock.close()
+
+    def know(self, members: dict[str, str]) -> None:
+        """Take the entries that are listed."""
+        for node, address in members.items():
+            if node != self.node:
+                self.peers[node] = address
+        self.changed.set()
+
+    def listen(self) -> None:
+        """Take news as it comes."""
+        while True:
+            received, sender = self.sock.recvfrom(LONGEST_DATAGRAM)
+            try:
+                news = decode_news(received)
+            except (ValueError, KeyError, TypeError) as error:
+                self.log.write('news_unreadable', sender=sender, why=str(error))
+                continue
+            now = boot_time()
+            self.meet(news.node, f'{sender[0]}:{sender[1]}', now)
+            if self.load.handle(news, now):
+                self.on_news()
+
+    def meet(self, node: str, address: str, now: float) -> None:
+        """Note that an entry was heard."""
+        if node not in self.heard_at:
+            self.log.write('peer_heard', peer=node, address=address)
+        self.peers[node] = address
+        self.heard_at[node] = now
+
+    def tell(self) -> None:
+        """Tell news when it changes, and now and then."""
+        while True:
+            self.changed.wait(HEARTBEAT_S)
+            self.changed.clear()
+            self.lose_silent()
+            self.tell_once()
+            gap = len(self.peers) / DATAGRAMS_A_SECOND
+            gevent.sleep(max(SHORTEST_GAP_S, gap))
+
+    def lose_silent(self) -> None:
+        """Forget entries that fell silent."""
+        now = boot_time()
+        if self.load.expire(now):
+            self.on_news()
+        for node, heard_at in list(self.heard_at.items()):
+            if now - heard_at > LOST_S:
+                self.heard_at.pop(node)
+                self.log.write('peer_lost', peer=node)
+
+    def tell_once(self) -> None:
+        """Send the present counts to all peers."""
+        now = boot_time()
+        counts, waiting = self.news()
+        self.number += 1
+        news = LoadNews(
+            self.node,
+            self.incarnation,
+            self.number,
+            counts,
+            waiting,
+        )
+        encoded = encode_news(news)
+        to_lost = now - self.told_lost_at >= LOST_HEARTBEAT_S
+        if to_lost:
+            self.told_lost_at = now
+        for node, address in self.peers.items():
+            if to_lost or node in self.heard_at:
+                self.send(encoded, address)
+
+    def send(self, encoded: bytes, address: str) -> None:
+        """Send one datagram; a full buffer loses it."""
+        try:
+            self.sock.sendto(encoded, split_address(address))
+        except OSError as error:
+            self.log.write('news_unsent', address=address, why=str(error))
+
+
+def encode_news(news: LoadNews) -> bytes:
+    """Encode news as CBOR.
+
+    :returns: a datagram.
+    """
+    return cbor2.dumps([
+        news.node,
+        news.incarnation,
+        news.number,
+        news.counts,
+        news.waiting,
+    ])
+
+
+def decode_news(datagram: bytes) -> LoadNews:
+    """Decode news.
+
+    :returns: the news.
+    :raises ValueError: where it is malformed.
+    """
+    decoded = cbor2.loads(datagram)
+    node, incarnation, number, counts, waiting = decoded
+    if not isinstance(node, str) or not isinstance(number, int):
+        raise ValueError('the news names no node')
+    if not isinstance(incarnation, int):
+        raise ValueError('the news names no incarnation')
+    return LoadNews(
+        node,
+        incarnation,
+        number,
+        whole_counts(counts),
+        whole_counts(waiting),
+    )
+
+
+def whole_counts(counts: object) -> dict[str, int]:
+    """Check counts by name.
+
+    :returns: the counts.
+    :raises ValueError: where they are none.
+    """
+    if not isinstance(counts, dict):
+        raise ValueError('the news has no counts')
+    for name, count in counts.items():
+        if not isinstance(name, str) or not isinstance(count, int):
+            raise ValueError('a count of the news is none')
+    return counts
