--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -15,6 +15,8 @@
 
 # Calls are priced, so waiting is long; probes find dead connections sooner.
 WAIT_S = 20.0
+# A store that was away is asked for a quick answer, which dates its return.
+PROBE_WAIT_S = 0.001
 # Pauses between calls to a store that does not answer.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
@@ -129,7 +131,8 @@
             self.read()
             return
         try:
-            state = self.table.changes(self.belief.version, WAIT_S)
+            wait_s = PROBE_WAIT_S if self.away else WAIT_S
+            state = self.table.changes(self.belief.version, wait_s)
         except HistoryGone:
             self.log.write('history_gone', table=self.name)
             self.belief.history_lost()
