--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -0,0 +1,417 @@
+"""Lead the change of a group's expert map on engines that do not vote.
+
+The leader first puts a hold of its own on the next step, at its own rank.
+Behind that hold it arms all ranks, and releases the step only once all are
+armed for it. If one cannot be confirmed, all are disarmed, and a further
+map is prepared everywhere, which makes late orders for the abandoned one
+impossible; then the step is released under the old map.
+
+Late orders are harmless: versions only rise and hold the leader's fence,
+an armed switch is refused once its step began or its map was replaced, and
+a hold is never put on a step that was released before. A leader that was
+paused is harmless, too: the pass waits for the hold of the one that took
+over.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from comfreyarch_core.enginestate import (
+    ArmMap,
+    DisarmMap,
+    EngineOrder,
+    EngineState,
+    GroupMap,
+    HoldStep,
+    PrepareMap,
+    ReleaseStep,
+)
+
+# Maps that one leader may prepare; its fence stands above this factor.
+MAPS_A_FENCE = 100_000
+# A copy that takes longer is given up; a link copies an expert in 50 ms.
+PREPARE_TIMEOUT_S = 3.0
+# All ranks answer within some ms; lost orders are repeated meanwhile.
+ARM_TIMEOUT_S = 0.3
+# An order without an answer is repeated after this time.
+REPEAT_S = 0.04
+# The same for a copy under way, which is only looked at.
+PREPARE_REPEAT_S = 0.15
+
+
+class Phase(enum.StrEnum):
+    """Say what the leader waits for."""
+
+    idle = 'idle'
+    preparing = 'preparing'
+    holding = 'holding'
+    arming = 'arming'
+    aborting = 'aborting'
+    releasing = 'releasing'
+
+
+@dataclass(frozen=True, slots=True)
+class Reported:
+    """Tell a rank's state.
+
+    :param number: grows with each reading of one rank.
+    """
+
+    state: EngineState
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeMap:
+    """Ask for a new map."""
+
+    content: GroupMap
+
+
+@dataclass(frozen=True, slots=True)
+class Recover:
+    """Ask to settle what a former leader may have left behind.
+
+    :param content: the map in use.
+    """
+
+    content: GroupMap
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Let time pass."""
+
+
+Message = Reported | ChangeMap | Recover | Tick
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send an order to a rank, valid for one state of its engine.
+
+    :param sequence: the engine refuses the order where its own differs.
+    """
+
+    rank: int
+    order: EngineOrder
+    epoch: int
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """Tell that a change is over.
+
+    :param version: the map in use, if it changed.
+    """
+
+    version: int | None
+    why: str
+
+
+Outcome = Send | Settled
+
+
+@dataclass(slots=True)
+class MapControl:
+    """Lead one group under one fence.
+
+    :param own: the leader's own rank.
+    :param content: the map in use, as far as is known.
+    :param sent_at: when a rank was last sent an order.
+    :param numbers: the last reading taken of each rank.
+    :param released: the last step that was released, or may have been.
+    """
+
+    fence: int
+    own: int
+    size: int
+    phase: Phase = Phase.idle
+    states: dict[int, EngineState] = field(default_factory=dict)
+    content: GroupMap = ()
+    target: GroupMap = ()
+    version: int = 0
+    made: int = 0
+    step: int = -1
+    epoch: int = -1
+    began: float = 0
+    aborted: str = ''
+    recovering: bool = False
+    sent_at: dict[int, float] = field(default_factory=dict)
+    numbers: dict[int, int] = field(default_factory=dict)
+    released: int = -1
+
+    def handle(self, message: Message, now: float) -> list[Outcome]:
+        """Take a message and decide.
+
+        :param now: seconds of a steady clock.
+        :returns: orders to send, and the end of a change.
+        """
+        match message:
+            case Reported(state, number):
+                return self.reported(state, number, now)
+            case ChangeMap(content):
+                return self.change(content, now)
+            case Recover(content):
+                return self.recover(content, now)
+        return self.advance(now)
+
+    def new_version(self) -> int:
+        """Name a map that nobody named before.
+
+        :returns: a version above all former ones.
+        """
+        self.made += 1
+        return self.fence * MAPS_A_FENCE + self.made
+
+    def quiet(self) -> bool:
+        """Tell whether all ranks are known, at rest and alike.
+
+        :returns: False where a change must not begin.
+        """
+        states = list(self.states.values())
+        if len(states) != self.size:
+            return False
+        first = states[0]
+        return all(
+            state.is_open
+            and state.epoch == first.epoch
+            and state.version == first.version
+            and state.armed is None
+            and state.held is None
+            for state in states
+        )
+
+    def change(self, content: GroupMap, now: float) -> list[Outcome]:
+        """Begin a change, unless one is under way."""
+        if self.phase != Phase.idle or not self.quiet():
+            return []
+        if self.states[self.own].step < self.released:
+            return []
+        self.target = content
+        self.version = self.new_version()
+        self.epoch = self.states[self.own].epoch
+        self.recovering = False
+        return self.enter(Phase.preparing, now)
+
+    def recover(self, content: GroupMap, now: float) -> list[Outcome]:
+        """Begin to settle what may have been left."""
+        if self.phase != Phase.idle or self.own not in self.states:
+            return []
+        self.content = content
+        self.epoch = self.states[self.own].epoch
+        self.recovering = True
+        self.aborted = 'recovered'
+        return self.enter(Phase.holding, now)
+
+    def enter(self, phase: Phase, now: float) -> list[Outcome]:
+        """Go on to a phase."""
+        self.phase = phase
+        self.began = now
+        self.sent_at = {}
+        return self.advance(now)
+
+    def reported(
+        self,
+        state: EngineState,
+        number: int,
+        now: float,
+    ) -> list[Outcome]:
+        """Take a rank's state; a new epoch ends all that was under way."""
+        known = self.states.get(state.rank)
+        if number < self.numbers.get(state.rank, 0):
+            return []
+        self.numbers[state.rank] = number
+        if known is not None and state.epoch < known.epoch:
+            return []
+        self.states[state.rank] = state
+        if known is not None and state != known:
+            self.sent_at.pop(state.rank, None)
+        if self.phase != Phase.idle and state.epoch > self.epoch:
+            self.phase = Phase.idle
+            return [Settled(None, 'new epoch')]
+        return self.advance(now)
+
+    def advance(self, now: float) -> list[Outcome]:
+        """Send what is due, and go on where a phase is complete."""
+        match self.phase:
+            case Phase.preparing:
+                return self.prepare(now)
+            case Phase.holding:
+                return self.hold(now)
+            case Phase.arming:
+                return self.arm(now)
+            case Phase.aborting:
+                return self.abort(now)
+            case Phase.releasing:
+                return self.release(now)
+        return []
+
+    def order(
+        self,
+        rank: int,
+        order: EngineOrder,
+        now: float,
+        repeat_s: float = REPEAT_S,
+    ) -> list[Outcome]:
+        """Send an order unless its answer may still come."""
+        if now - self.sent_at.get(rank, -repeat_s) < repeat_s:
+            return []
+        state = self.states[rank]
+        self.sent_at[rank] = now
+        return [Send(rank, order, self.epoch, state.sequence)]
+
+    def prepare(self, now: float) -> list[Outcome]:
+        """Let all ranks copy what they need."""
+        waiting = self.unprepared(self.version)
+        if not waiting:
+            return self.enter(Phase.holding, now)
+        if now - self.began > PREPARE_TIMEOUT_S or not self.at_rest():
+            self.phase = Phase.idle
+            return [Settled(None, 'not prepared')]
+        order = PrepareMap(self.version, self.target)
+        return [
+            outcome
+            for rank in waiting
+            for outcome in self.order(rank, order, now, PREPARE_REPEAT_S)
+        ]
+
+    def switching(self) -> bool:
+        """Tell whether all ranks are armed alike and nothing holds them.
+
+        :returns: True from a release until its step begins.
+        """
+        armed = {state.armed for state in self.states.values()}
+        held = any(state.held is not None for state in self.states.values())
+        return len(armed) == 1 and not held
+
+    def at_rest(self) -> bool:
+        """Tell whether no rank is armed or held by another.
+
+        :returns: False where a change must not go on.
+        """
+        return all(
+            state.armed is None and state.held is None
+            for state in self.states.values()
+        )
+
+    def unprepared(self, version: int) -> list[int]:
+        """List the ranks that have not prepared a map.
+
+        :returns: those, and all ranks that are not known.
+        """
+        return [
+            rank
+            for rank in range(self.size)
+            if rank not in self.states
+            or self.states[rank].prepared != version
+            or self.states[rank].epoch != self.epoch
+        ]
+
+    def hold(self, now: float) -> list[Outcome]:
+        """Hold the next step at the own rank."""
+        own = self.states[self.own]
+        if own.held is not None and own.held != own.step + 1:
+            self.released = max(self.released, own.held)
+            return self.order(self.own, ReleaseStep(own.held), now)
+        if own.held is not None:
+            self.step = own.held
+            if self.recovering:
+                return self.begin_abort('recovered', now)
+            return self.enter(Phase.arming, now)
+        if now - self.began > PREPARE_TIMEOUT_S:
+            self.phase = Phase.idle
+            return [Settled(None, 'not held')]
+        if own.step < self.released:
+            return []
+        return self.order(self.own, HoldStep(own.step + 1), now)
+
+    def arm(self, now: float) -> list[Outcome]:
+        """Arm all ranks for the held step."""
+        waiting = [
+            rank
+            for rank in range(self.size)
+            if not self.is_armed(self.states[rank])
+        ]
+        if not waiting:
+            self.content = self.target
+            self.aborted = ''
+            return self.enter(Phase.releasing, now)
+        if now - self.began > ARM_TIMEOUT_S or self.unprepared(self.version):
+            return self.begin_abort('not armed', now)
+        order = ArmMap(self.version, self.step)
+        return [
+            outcome
+            for rank in waiting
+            for outcome in self.order(rank, order, now)
+        ]
+
+    def is_armed(self, state: EngineState) -> bool:
+        """Tell whether a rank is armed for this change.
+
+        :returns: False also for another version, step or epoch.
+        """
+        armed = state.armed
+        return (
+            armed is not None
+            and armed.version == self.version
+            and armed.step == self.step
+            and state.epoch == self.epoch
+        )
+
+    def begin_abort(self, why: str, now: float) -> list[Outcome]:
+        """Give a change up: nobody may keep it, nor take it late."""
+        self.aborted = why
+        self.version = self.new_version()
+        self.target = self.content
+        return self.enter(Phase.aborting, now)
+
+    def abort(self, now: float) -> list[Outcome]:
+        """Disarm all ranks and make late orders impossible."""
+        waiting = self.unprepared(self.version)
+        if not waiting:
+            return self.enter(Phase.releasing, now)
+        return [
+            outcome
+            for rank in waiting
+            if rank in self.states
+            for outcome in self.order(rank, self.undo(rank), now)
+        ]
+
+    def undo(self, rank: int) -> EngineOrder:
+        """Choose the order that takes a rank nearer to rest.
+
+        :returns: a disarming, or the map that replaces what was prepared.
+        """
+        armed = self.states[rank].armed
+        if armed is not None:
+            return DisarmMap(armed.version)
+        return PrepareMap(self.version, self.target)
+
+    def release(self, now: float) -> list[Outcome]:
+        """Let the held step begin."""
+        own = self.states[self.own]
+        if own.held is None:
+            self.phase = Phase.idle
+            version = None if self.aborted else self.version
+            return [Settled(version, self.aborted or 'changed')]
+        self.released = max(self.released, own.held)
+        return self.order(self.own, ReleaseStep(own.held), now)
+
+    def began_term(self, step: int) -> None:
+        """Note the step at which a term began.
+
+        A former leader may have released the next one, and late.
+
+        :param step: the last step begun at the own rank.
+        """
+        self.released = max(self.released, step + 1)
+
+
+def make_map_control(fence: int, own: int, size: int) -> MapControl:
+    """Make the leader of a group.
+
+    :returns: a leader that knows no rank.
+    """
+    return MapControl(fence, own, size)
--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mappressure.py
@@ -0,0 +1,86 @@
+"""Tell whether a group is loaded so much that faster steps help callers.
+
+Copying experts slows the group and loads its links. While streams keep
+their pace and slots are free, nobody gains from a better map.
+"""
+
+from dataclasses import dataclass, field
+
+from comfreyarch_core.enginestate import EngineState
+
+# A pass that takes this part of the longest pause allowed is near it: the
+# pass after a long prompt takes half as long again.
+PASS_PART = 0.65
+# Part of the slots in use from which requests begin to wait.
+BUSY_PART = 0.7
+# Weight of the newest pass time, and the shortest time it is taken over.
+PASS_WEIGHT = 0.4
+PASS_SPAN_S = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class GroupFigures:
+    """Hold what the operator states of a group's service.
+
+    :param slots: requests that one rank runs at once.
+    :param gap_s: longest pause between two events of a stream.
+    """
+
+    slots: int
+    gap_s: float
+
+
+@dataclass(slots=True)
+class Pressure:
+    """Follow a group's passes and the slots in use.
+
+    :param pass_s: smoothed time of a pass.
+    """
+
+    figures: GroupFigures
+    pass_s: float = 0
+    step: int = -1
+    since: float = 0
+    requests: dict[int, int] = field(default_factory=dict)
+
+    def handle(self, state: EngineState, own: bool, now: float) -> None:
+        """Take a rank's state.
+
+        :param own: it was read just now, so its step can be timed.
+        """
+        self.requests[state.rank] = state.running + state.waiting
+        if own:
+            self.time_pass(state.step, now)
+
+    def time_pass(self, step: int, now: float) -> None:
+        """Time the passes since the last look."""
+        if self.step < 0 or step < self.step or step == self.step:
+            if step != self.step or now - self.since > 1:
+                self.step = step
+                self.since = now
+            return
+        span = now - self.since
+        if span < PASS_SPAN_S:
+            return
+        one = span / (step - self.step)
+        self.pass_s += PASS_WEIGHT * (one - self.pass_s)
+        self.step = step
+        self.since = now
+
+    def is_high(self, size: int) -> bool:
+        """Tell whether faster steps would help.
+
+        :param size: ranks of the group.
+        :returns: True near the pace allowed, or with few slots free.
+        """
+        slow = self.pass_s > PASS_PART * self.figures.gap_s > 0
+        taken = sum(self.requests.values())
+        return slow or taken > BUSY_PART * size * self.figures.slots
+
+
+def make_pressure(figures: GroupFigures) -> Pressure:
+    """Make the pressure of a group.
+
+    :returns: one that knows nothing.
+    """
+    return Pressure(figures)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -16,6 +16,7 @@
 from comfreyarch_core.tablebelief import Change
 from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
 from comfreyarch_daemon.statuslines import StartResponse, status_line
+from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.dialect import Dialect
 from comfreyarch_daemon.directentry import DirectEntry, DirectSettings
 from comfreyarch_daemon.eventlog import EventLog
@@ -160,6 +161,7 @@
 
     __slots__ = (
         'adapter',
+        'datagrams',
         'entry',
         'log',
         'metrics',
@@ -209,9 +211,10 @@
         ]
         dispatcher = self.entry.dispatcher
         self.peers = adapter.open_peers(settings)
+        self.datagrams = Datagrams(settings.peers, self.log)
         self.peer_load = PeerLoad(
             settings.node,
-            settings.peers,
+            self.datagrams,
             dispatcher.placer.fleet,
             dispatcher.news,
             dispatcher.pump,
@@ -250,6 +253,7 @@
         self.entry.start()
         for watch in self.watches:
             watch.start()
+        self.datagrams.start()
         self.peer_load.start()
         self.workers = [gevent.spawn(self.tick), gevent.spawn(self.find_peers)]
 
@@ -258,6 +262,7 @@
         for worker in self.workers:
             worker.kill(block=False)
         self.peer_load.close()
+        self.datagrams.close()
         for watch in self.watches:
             watch.close()
         self.entry.close()
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -0,0 +1,348 @@
+"""Lead a rank group's map from one of its sidecars."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+import gevent
+
+from comfreyarch_core.enginestate import EngineState, GroupMap
+from comfreyarch_core.mapcontrol import (
+    ChangeMap,
+    MapControl,
+    Outcome,
+    Phase,
+    Recover,
+    Reported,
+    Send,
+    Settled,
+    Tick,
+    make_map_control,
+)
+from comfreyarch_core.mapplan import MapLimits, PlannedMap, plan_map
+from comfreyarch_core.mappressure import GroupFigures, make_pressure
+from comfreyarch_daemon.engineapi import EngineApi, EngineAway
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.rankmail import CountNews, OrderNews, StateNews
+from comfreyarch_daemon.tablewatch import StoreAway
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+TICK_S = 0.02
+IDLE_TICK_S = 0.1
+# Counts that a plan is made of: the last ones of each rank.
+COUNTS_KEPT = 2
+# A map is planned only on so many choices of experts, by set.
+LEAST_CHOICES = 400
+# Time between two plans.
+PLAN_S = 0.4
+# States of a group that switches are told one after the other.
+UNSETTLED_S = 0.5
+# A rank that was not heard for so long is asked itself, at a price.
+SILENT_S = 0.4
+
+
+class Leadership(Protocol):
+    """Keep who leads a group; a platform's adapter fills it."""
+
+    def read(self, group: str) -> int:
+        """Read the leader's fence, 0 for none.
+
+        :raises StoreAway: where the store does not answer.
+        """
+
+    def claim(self, group: str, node: str, former: int) -> int | None:
+        """Become the leader after the one with a fence.
+
+        :returns: the new fence, None where another was faster.
+        :raises StoreAway: where the store does not say which.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class MapRules:
+    """Hold what the maps of a group must keep to, and what it should reach."""
+
+    limits: MapLimits
+    figures: GroupFigures
+
+
+class MapLeader:
+    """Own one term of leading a group.
+
+    :param tell: sends an order to a rank's sidecar.
+    :param engine_at: opens an engine by its address.
+    """
+
+    __slots__ = (
+        'control',
+        'counts',
+        'engine_at',
+        'engines',
+        'experts',
+        'group',
+        'heard_at',
+        'leadership',
+        'limits',
+        'log',
+        'metrics',
+        'planned',
+        'pressure',
+        'tell',
+        'unsettled_since',
+        'workers',
+    )
+
+    def __init__(
+        self,
+        own: EngineState,
+        fence: int,
+        rules: MapRules,
+        leadership: Leadership,
+        tell: Callable[[OrderNews], None],
+        engine_at: Callable[[str], EngineApi],
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        """Begin a term."""
+        self.control: MapControl = make_map_control(fence, own.rank, own.size)
+        self.group = own.group
+        self.limits = rules.limits
+        self.pressure = make_pressure(rules.figures)
+        self.control.began_term(own.step)
+        self.unsettled_since = 0.0
+        self.leadership = leadership
+        self.tell = tell
+        self.engine_at = engine_at
+        self.log = log
+        self.metrics = metrics
+        self.counts: dict[int, list[CountNews]] = {}
+        self.experts: dict[int, CountNews] = {}
+        self.engines: dict[int, str] = {}
+        self.heard_at: dict[int, float] = {}
+        self.planned: PlannedMap | None = None
+        self.workers: list[gevent.Greenlet] = []
+
+    @property
+    def fence(self) -> int:
+        """Give the fence of this term.
+
+        :returns: a number that grows with each term.
+        """
+        return self.control.fence
+
+    def start(self) -> None:
+        """Start leading."""
+        self.workers = [gevent.spawn(self.tick), gevent.spawn(self.plan)]
+
+    def close(self) -> None:
+        """Stop leading."""
+        for worker in self.workers:
+            worker.kill(block=False)
+
+    def tick(self) -> None:
+        """Let time pass."""
+        while True:
+            idle = self.control.phase == Phase.idle
+            gevent.sleep(IDLE_TICK_S if idle else TICK_S)
+            self.do(self.control.handle(Tick(), boot_time()))
+
+    def heard_state(self, news: StateNews) -> None:
+        """Take a rank's state."""
+        rank = news.state.rank
+        self.engines[rank] = news.engine
+        self.heard_at[rank] = boot_time()
+        now = boot_time()
+        own = rank == self.control.own
+        self.pressure.handle(news.state, own, now)
+        reported = Reported(news.state, news.number)
+        self.do(self.control.handle(reported, now))
+
+    def heard_counts(self, news: CountNews) -> None:
+        """Take a rank's counts."""
+        kept = self.counts.setdefault(news.rank, [])
+        kept.append(news)
+        del kept[:-COUNTS_KEPT]
+        self.experts[news.rank] = news
+
+    def do(self, outcomes: list[Outcome]) -> None:
+        """Carry decisions out."""
+        for outcome in outcomes:
+            match outcome:
+                case Send():
+                    self.send(outcome)
+                case Settled(version, why):
+                    self.settled(version, why)
+
+    def send(self, send: Send) -> None:
+        """Send an order by the rank's sidecar, or directly."""
+        news = OrderNews(
+            self.group,
+            self.fence,
+            send.rank,
+            send.epoch,
+            send.sequence,
+            send.order,
+        )
+        silent_s = boot_time() - self.heard_at.get(send.rank, 0)
+        own = send.rank == self.control.own
+        if own or silent_s < SILENT_S or send.rank not in self.engines:
+            self.tell(news)
+            return
+        gevent.spawn(self.order_directly, news)
+
+    def order_directly(self, news: OrderNews) -> None:
+        """Order an engine whose sidecar is silent, and read its state."""
+        address = self.engines[news.rank]
+        engine = self.engine_at(address)
+        try:
+            state = self.ask(engine, news)
+        except EngineAway as error:
+            self.log.write('engine_silent', rank=news.rank, why=str(error))
+            return
+        finally:
+            engine.close()
+        if state is not None:
+            number = self.control.numbers.get(news.rank, 0)
+            reported = Reported(state, number)
+            self.do(self.control.handle(reported, boot_time()))
+
+    def ask(self, engine: EngineApi, news: OrderNews) -> EngineState | None:
+        """Give an order that may get no answer, then read.
+
+        :returns: the state afterwards.
+        :raises EngineAway: where the engine does not answer the reading.
+        """
+        outcome = 'accepted'
+        try:
+            if not engine.order(news.order, news.epoch, news.sequence):
+                outcome = 'refused'
+        except EngineAway as error:
+            outcome = str(error)
+        self.log.write(
+            'direct_order',
+            rank=news.rank,
+            order=type(news.order).__name__,
+            outcome=outcome,
+        )
+        return engine.state()
+
+    def settled(self, version: int | None, why: str) -> None:
+        """Log how a change ended; old counts say nothing of the new map."""
+        self.counts.clear()
+        planned = self.planned
+        self.metrics.count('map_changes', outcome=why.replace(' ', '_'))
+        self.log.write(
+            'map_settled',
+            group=self.group,
+            fence=self.fence,
+            version=version,
+            why=why,
+            skew_before=round(planned.before, 2) if planned else None,
+            skew_planned=round(planned.after, 2) if planned else None,
+        )
+
+    def plan(self) -> None:
+        """Plan and begin changes for as long as the term lasts."""
+        while True:
+            gevent.sleep(PLAN_S)
+            if self.control.phase != Phase.idle:
+                continue
+            content = self.content()
+            if content is None:
+                continue
+            if self.control.quiet():
+                self.unsettled_since = 0
+                if self.pressure.is_high(self.control.size):
+                    self.plan_once(content)
+            elif self.unsettled():
+                self.control.content = content
+                self.do(self.control.handle(Recover(content), boot_time()))
+
+    def unsettled(self) -> bool:
+        """Tell whether a former leader left a hold or an armed rank.
+
+        :returns: True where that has to be settled first.
+        """
+        if self.control.at_rest() or self.control.switching():
+            self.unsettled_since = 0
+            return False
+        now = boot_time()
+        if not self.unsettled_since:
+            self.unsettled_since = now
+        return now - self.unsettled_since > UNSETTLED_S
+
+    def content(self) -> GroupMap | None:
+        """Put the map in use together from what the ranks told.
+
+        :returns: None until all told of the same map.
+        """
+        control = self.control
+        own = control.states.get(control.own)
+        known = [self.experts.get(rank) for rank in range(control.size)]
+        if own is None:
+            return None
+        told: list[CountNews] = []
+        for news in known:
+            if news is None or news.version != own.version:
+                return None
+            if news.epoch != own.epoch:
+                return None
+            told.append(news)
+        sets = range(len(told[0].experts))
+        return tuple(
+            tuple(news.experts[number] for news in told) for number in sets
+        )
+
+    def plan_once(self, content: GroupMap) -> None:
+        """Plan one change and begin it where it pays."""
+        loads = self.loads(len(content))
+        if loads is None:
+            return
+        planned = plan_map(content, loads, self.limits)
+        if planned is None or not self.leads_still():
+            return
+        self.planned = planned
+        self.control.content = content
+        self.log.write(
+            'map_planned',
+            group=self.group,
+            fence=self.fence,
+            skew=round(planned.before, 2),
+            skew_planned=round(planned.after, 2),
+            pass_s=round(self.pressure.pass_s, 3),
+        )
+        self.do(self.control.handle(ChangeMap(planned.content), boot_time()))
+
+    def loads(self, sets: int) -> list[list[int]] | None:
+        """Add up the last counts of all ranks.
+
+        :returns: choices by set and expert, None while too few are known.
+        """
+        if len(self.counts) < self.control.size:
+            return None
+        experts = self.limits.experts
+        total = [0] * (sets * experts)
+        for kept in self.counts.values():
+            if len(kept) < COUNTS_KEPT:
+                return None
+            for news in kept:
+                for number, count in enumerate(news.counts):
+                    total[number] += count
+        if sum(total) < LEAST_CHOICES * sets:
+            return None
+        return [
+            total[first : first + experts]
+            for first in range(0, len(total), experts)
+        ]
+
+    def leads_still(self) -> bool:
+        """Ask the store whether this term still lasts.
+
+        :returns: False where it does not, or the store is away.
+        """
+        try:
+            return self.leadership.read(self.group) == self.fence
+        except StoreAway as error:
+            self.log.write('leadership_unknown', why=str(error))
+            return False
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
@@ -1,24 +1,19 @@
-"""Tell the other entries what is in flight, in datagrams.
-
-A datagram that is late or lost is worth nothing, and the next one replaces
-it; a stream would queue old news behind a lost segment.
-"""
+"""Tell the other entries what is in flight."""
 
 import random
 from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import cbor2
 import gevent
-from gevent import socket
 from gevent.event import Event
 
 from comfreyarch_core.fleetload import LOST_S, FleetLoad, LoadNews
+from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.settings import split_address
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-LONGEST_DATAGRAM = 65_000
+NEWS = 'load'
 # News is told at once, but not more often than this.
 SHORTEST_GAP_S = 0.02
 # Datagrams that an entry sends a second, at most: the gap grows with peers.
@@ -49,8 +44,8 @@
     """
 
     __slots__ = (
-        'address',
         'changed',
+        'datagrams',
         'heard_at',
         'incarnation',
         'load',
@@ -60,27 +55,27 @@
         'number',
         'on_news',
         'peers',
-        'sock',
         'told_lost_at',
-        'workers',
+        'worker',
     )
 
     def __init__(
         self,
         node: str,
-        address: str,
+        datagrams: Datagrams,
         load: FleetLoad,
         news: Callable[[], tuple[dict[str, int], dict[str, int]]],
         on_news: Callable[[], None],
         log: EventLog,
     ) -> None:
-        """Prepare to listen on ``address``.
+        """Prepare to tell.
 
         :param news: gives the counts in flight and waiting.
         :param on_news: called after news of others was taken.
         """
         self.node = node
-        self.address = address
+        self.datagrams = datagrams
+        datagrams.handlers[NEWS] = self.heard
         self.load = load
         self.news = news
         self.on_news = on_news
@@ -91,22 +86,16 @@
         self.incarnation = random.SystemRandom().getrandbits(32)
         self.number = 0
         self.changed = Event()
-        self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.workers: list[gevent.Greenlet] = []
+        self.worker: gevent.Greenlet | None = None
 
     def start(self) -> None:
-        """Start listening and telling.
-
-        :raises OSError: if the address is taken.
-        """
-        self.sock.bind(split_address(self.address))
-        self.workers = [gevent.spawn(self.listen), gevent.spawn(self.tell)]
+        """Start telling."""
+        self.worker = gevent.spawn(self.tell)
 
     def close(self) -> None:
-        """Stop both."""
-        for worker in self.workers:
-            worker.kill(block=False)
-        self.sock.close()
+        """Stop telling."""
+        if self.worker is not None:
+            self.worker.kill(block=False)
 
     def know(self, members: dict[str, str]) -> None:
         """Take the entries that are listed."""
@@ -115,19 +104,16 @@
                 self.peers[node] = address
         self.changed.set()
 
-    def listen(self) -> None:
-        """Take news as it comes."""
-        while True:
-            received, sender = self.sock.recvfrom(LONGEST_DATAGRAM)
-            try:
-                news = decode_news(received)
-            except (ValueError, KeyError, TypeError) as error:
-                self.log.write('news_unreadable', sender=sender, why=str(error))
-                continue
-            now = boot_time()
-            self.meet(news.node, f'{sender[0]}:{sender[1]}', now)
-            if self.load.handle(news, now):
-                self.on_news()
+    def heard(self, message: list[Any], address: str) -> None:
+        """Take news.
+
+        :raises ValueError: where it is malformed.
+        """
+        news = decode_news(message)
+        now = boot_time()
+        self.meet(news.node, address, now)
+        if self.load.handle(news, now):
+            self.on_news()
 
     def meet(self, node: str, address: str, now: float) -> None:
         """Note that an entry was heard."""
@@ -168,44 +154,37 @@
             counts,
             waiting,
         )
-        encoded = encode_news(news)
+        encoded = cbor2.dumps(encode_news(news))
         to_lost = now - self.told_lost_at >= LOST_HEARTBEAT_S
         if to_lost:
             self.told_lost_at = now
         for node, address in self.peers.items():
             if to_lost or node in self.heard_at:
-                self.send(encoded, address)
-
-    def send(self, encoded: bytes, address: str) -> None:
-        """Send one datagram; a full buffer loses it."""
-        try:
-            self.sock.sendto(encoded, split_address(address))
-        except OSError as error:
-            self.log.write('news_unsent', address=address, why=str(error))
+                self.datagrams.send_encoded(encoded, address)
 
 
-def encode_news(news: LoadNews) -> bytes:
-    """Encode news as CBOR.
+def encode_news(news: LoadNews) -> list[Any]:
+    """Write news.
 
-    :returns: a datagram.
+    :returns: a message.
     """
-    return cbor2.dumps([
+    return [
+        NEWS,
         news.node,
         news.incarnation,
         news.number,
         news.counts,
         news.waiting,
-    ])
+    ]
 
 
-def decode_news(datagram: bytes) -> LoadNews:
-    """Decode news.
+def decode_news(message: list[Any]) -> LoadNews:
+    """Read news.
 
     :returns: the news.
     :raises ValueError: where it is malformed.
     """
-    decoded = cbor2.loads(datagram)
-    node, incarnation, number, counts, waiting = decoded
+    _, node, incarnation, number, counts, waiting = message
     if not isinstance(node, str) or not isinstance(number, int):
         raise ValueError('the news names no node')
     if not isinstance(incarnation, int):
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -0,0 +1,371 @@
+"""Run the sidecar of a rank: its agent, and the group's leader at times."""
+
+import gc
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+import gevent
+from gevent.event import Event
+
+from comfreyarch_core.enginestate import EngineState
+from comfreyarch_daemon.datagrams import Datagrams
+from comfreyarch_daemon.engineapi import EngineApi
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.mapleader import Leadership, MapLeader, MapRules
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.peerload import Peers
+from comfreyarch_daemon.rankagent import RankAgent
+from comfreyarch_daemon.rankmail import (
+    COUNTS,
+    LEAD,
+    ORDER,
+    STATE,
+    CountNews,
+    LeadNews,
+    OrderNews,
+    StateNews,
+    read_counts,
+    read_lead,
+    read_order,
+    read_state,
+    write_counts,
+    write_lead,
+    write_order,
+    write_state,
+)
+from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.tablewatch import StoreAway
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+EXIT_SETTINGS = 2
+GC_THRESHOLDS = (20_000, 20, 20)
+# A leader tells that it lives; ranks follow another one after a silence,
+# the lowest first.
+LEAD_S = 0.2
+LEAD_SILENT_S = 0.8
+LEAD_STEP_S = 0.4
+# States are told to the ranks that may lead next, too.
+CANDIDATES = 2
+# How often the peers are listed until all ranks were heard.
+PEERS_S = 3.0
+PEERS_TRIES = 3
+FIRST_LOOK_S = 0.5
+# A state that did not change is told so often.
+TELL_S = 0.3
+# Readings are numbered by the time at which they were taken.
+READINGS_A_SECOND = 10_000
+
+
+@dataclass(frozen=True, slots=True)
+class RankSettings:
+    """Hold the settings of a rank's sidecar.
+
+    :param engine: address of the engine beside it.
+    """
+
+    node: str
+    peers: str
+    engine: str
+    service: str
+    store: str
+
+
+@dataclass(frozen=True, slots=True)
+class RankAdapter:
+    """Hold what a platform's adapter provides to a rank's sidecar."""
+
+    read_settings: Callable[[Path], RankSettings]
+    open_engine: Callable[[str], EngineApi]
+    open_leadership: Callable[[RankSettings], Leadership]
+    open_peers: Callable[[RankSettings], Peers]
+    map_rules: Callable[[RankSettings], MapRules | None]
+
+
+class RankNode:
+    """Own a rank's sidecar.
+
+    :param addresses: datagram addresses of the group's sidecars, by rank.
+    :param fence: the highest fence heard of.
+    """
+
+    __slots__ = (
+        'adapter',
+        'addresses',
+        'agent',
+        'datagrams',
+        'fence',
+        'lead_address',
+        'lead_heard_at',
+        'leader',
+        'leadership',
+        'log',
+        'metrics',
+        'peers',
+        'rules',
+        'settings',
+        'stopped',
+        'told',
+        'told_at',
+        'workers',
+    )
+
+    def __init__(self, adapter: RankAdapter, path: Path) -> None:
+        """Build all parts; nothing runs before ``start``."""
+        settings = adapter.read_settings(path)
+        self.adapter = adapter
+        self.settings = settings
+        self.log = EventLog(settings.node)
+        self.metrics = Metrics()
+        self.datagrams = Datagrams(settings.peers, self.log)
+        self.datagrams.handlers = {
+            STATE: self.heard_state,
+            COUNTS: self.heard_counts,
+            ORDER: self.heard_order,
+            LEAD: self.heard_lead,
+        }
+        self.agent = RankAgent(
+            adapter.open_engine(settings.engine),
+            adapter.open_engine(settings.engine),
+            self.told_state,
+            self.told_counts,
+            self.log,
+            self.metrics,
+        )
+        self.leadership = adapter.open_leadership(settings)
+        self.peers = adapter.open_peers(settings)
+        self.leader: MapLeader | None = None
+        self.rules: MapRules | None = None
+        self.fence = 0
+        self.lead_address = ''
+        self.lead_heard_at = boot_time()
+        self.addresses: dict[int, str] = {}
+        self.told: EngineState | None = None
+        self.told_at = 0.0
+        self.workers: list[gevent.Greenlet] = []
+        self.stopped = Event()
+
+    def start(self) -> None:
+        """Start all parts."""
+        self.log.write('start', engine=self.settings.engine)
+        self.datagrams.start()
+        self.agent.start()
+        self.workers = [
+            gevent.spawn(self.find_peers),
+            gevent.spawn(self.follow),
+        ]
+
+    def close(self) -> None:
+        """Stop all parts."""
+        for worker in self.workers:
+            worker.kill(block=False)
+        if self.leader is not None:
+            self.leader.close()
+        self.agent.close()
+        self.datagrams.close()
+        self.log.write('stop')
+        self.stopped.set()
+
+    def find_peers(self) -> None:
+        """Make this sidecar known to its group and learn of the others."""
+        tries = 0
+        while tries < PEERS_TRIES:
+            gevent.sleep(PEERS_S if tries else FIRST_LOOK_S)
+            own = self.agent.state
+            if own is None:
+                continue
+            tries += 1
+            try:
+                self.peers.join(peer_name(own), self.settings.peers)
+                members = self.peers.members()
+            except StoreAway as error:
+                self.log.write('peers_unknown', why=str(error))
+                continue
+            for rank in range(own.size):
+                address = members.get(f'{own.group}/{rank}')
+                if address is not None:
+                    self.addresses.setdefault(rank, address)
+            self.log.write('peers_listed', peers=len(self.addresses))
+            if len(self.addresses) == own.size:
+                return
+
+    def told_state(self, state: EngineState, *, urgent: bool) -> None:
+        """Pass the own engine's state on.
+
+        :param urgent: also where nothing but the step changed.
+        """
+        number = int(boot_time() * READINGS_A_SECOND)
+        news = StateNews(self.settings.engine, state, number)
+        self.addresses[state.rank] = self.settings.peers
+        if self.leader is not None:
+            self.leader.heard_state(news)
+        now = boot_time()
+        plain = replace(state, step=0, running=0, waiting=0)
+        recent = now - self.told_at < TELL_S
+        if plain == self.told and recent and not urgent:
+            return
+        self.told = plain
+        self.told_at = now
+        message = write_state(news)
+        for address in self.audience():
+            self.datagrams.send(message, address)
+
+    def audience(self) -> set[str]:
+        """List who needs the own state.
+
+        :returns: the leader and who may follow it.
+        """
+        heard = sorted(self.addresses)[:CANDIDATES]
+        chosen = {self.addresses[rank] for rank in heard}
+        if self.lead_address:
+            chosen.add(self.lead_address)
+        return chosen - {self.settings.peers}
+
+    def told_counts(self, news: CountNews) -> None:
+        """Pass the own counts on to the leader."""
+        if self.leader is not None:
+            self.leader.heard_counts(news)
+        elif self.lead_address:
+            self.datagrams.send(write_counts(news), self.lead_address)
+
+    def heard_state(self, message: list[Any], address: str) -> None:
+        """Take another rank's state."""
+        news = read_state(message)
+        own = self.agent.state
+        if own is None or news.state.group != own.group:
+            return
+        self.addresses[news.state.rank] = address
+        if self.leader is not None:
+            self.leader.heard_state(news)
+
+    def heard_counts(self, message: list[Any], _address: str) -> None:
+        """Take another rank's counts."""
+        news = read_counts(message)
+        leader = self.leader
+        if leader is not None and leader.group == news.group:
+            leader.heard_counts(news)
+
+    def heard_order(self, message: list[Any], address: str) -> None:
+        """Take a leader's order."""
+        news = read_order(message)
+        own = self.agent.state
+        if own is None or own.group != news.group or own.rank != news.rank:
+            return
+        self.follow_leader(news.fence, address)
+        self.agent.obey(news)
+
+    def heard_lead(self, message: list[Any], address: str) -> None:
+        """Take word of a leader."""
+        news: LeadNews = read_lead(message)
+        own = self.agent.state
+        if own is not None and own.group == news.group:
+            self.follow_leader(news.fence, address)
+
+    def follow_leader(self, fence: int, address: str) -> None:
+        """Follow the leader with the highest fence."""
+        if fence < self.fence:
+            return
+        if fence > self.fence:
+            self.log.write('leader', fence=fence, address=address)
+        self.fence = fence
+        self.agent.fence = max(self.agent.fence, fence)
+        self.lead_address = address
+        self.lead_heard_at = boot_time()
+        if self.leader is not None and fence > self.leader.fence:
+            self.leader.close()
+            self.leader = None
+
+    def tell(self, news: OrderNews) -> None:
+        """Bring an order to a rank's sidecar."""
+        own = self.agent.state
+        if own is not None and news.rank == own.rank:
+            self.agent.obey(news)
+            return
+        address = self.addresses.get(news.rank)
+        if address is not None:
+            self.datagrams.send(write_order(news), address)
+
+    def follow(self) -> None:
+        """Tell that the own term lasts, or begin one after a silence."""
+        while True:
+            gevent.sleep(LEAD_S)
+            own = self.agent.state
+            if self.leader is not None:
+                self.tell_lead(self.leader)
+            elif own is not None and own.size > 1 and self.is_due(own):
+                self.claim(own)
+
+    def tell_lead(self, leader: MapLeader) -> None:
+        """Tell all sidecars of the group who leads."""
+        news = LeadNews(leader.group, leader.fence, self.settings.node)
+        message = write_lead(news)
+        for address in self.addresses.values():
+            if address != self.settings.peers:
+                self.datagrams.send(message, address)
+
+    def is_due(self, own: EngineState) -> bool:
+        """Tell whether this rank should lead.
+
+        :returns: False while a leader is heard, or a lower rank may follow.
+        """
+        silent_s = boot_time() - self.lead_heard_at
+        return silent_s > LEAD_SILENT_S + LEAD_STEP_S * own.rank
+
+    def claim(self, own: EngineState) -> None:
+        """Try to become the leader."""
+        self.lead_heard_at = boot_time()
+        try:
+            if self.rules is None:
+                self.rules = self.adapter.map_rules(self.settings)
+            former = self.leadership.read(own.group)
+            fence = self.leadership.claim(
+                own.group,
+                self.settings.node,
+                former,
+            )
+        except StoreAway as error:
+            self.log.write('claim_failed', why=str(error))
+            return
+        if fence is None or self.rules is None:
+            return
+        self.log.write('lead', group=own.group, fence=fence, former=former)
+        self.fence = fence
+        self.agent.fence = fence
+        self.lead_address = self.settings.peers
+        self.leader = MapLeader(
+            own,
+            fence,
+            self.rules,
+            self.leadership,
+            self.tell,
+            self.adapter.open_engine,
+            self.log,
+            self.metrics,
+        )
+        self.leader.start()
+        self.tell_lead(self.leader)
+
+
+def peer_name(state: EngineState) -> str:
+    """Name a sidecar by its group and rank.
+
+    :returns: the name of its row.
+    """
+    return f'{state.group}/{state.rank}'
+
+
+def run_sidecar(adapter: RankAdapter, path: Path) -> None:
+    """Run a rank's sidecar until a signal stops it."""
+    gc.set_threshold(*GC_THRESHOLDS)
+    try:
+        node = RankNode(adapter, path)
+        node.start()
+    except (SettingsError, OSError) as error:
+        sys.stderr.write(f'comfreyarch: {error}\n')
+        sys.exit(EXIT_SETTINGS)
+    gevent.signal_handler(signal.SIGTERM, node.close)
+    gevent.signal_handler(signal.SIGINT, node.close)
+    node.stopped.wait()
