Sidecars tell entries which engines take work; newest entry of an address holds

Now: an older entry of the same address is dropped; 421 pauses that upstream; rejections pause longer and longer; sidecars tell open/closed, stalls and pace, so requests wait in the line and start when the group opens.

--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/enginehealth.py
@@ -0,0 +1,68 @@
+"""Judge from an engine's own reports whether it takes work.
+
+Ranks of a group work in lock-step, so a rank that stands still tells of the
+whole group, and a slow one holds the others back by what it has to do.
+"""
+
+from dataclasses import dataclass
+
+from comfreyarch_core.enginestate import EngineState
+
+# A pass takes up to 0.12 s, and a third longer while experts are copied.
+STALLED_S = 0.45
+# Paces are told in steps of this size.
+PACE_STEP = 0.25
+
+
+@dataclass(frozen=True, slots=True)
+class EngineHealth:
+    """Tell whether an engine takes work.
+
+    :param usable: its group is open and does not stand still.
+    :param pace: 1 where it is as fast as it should be, more if slow.
+    """
+
+    group: str
+    epoch: int
+    usable: bool
+    pace: float
+
+
+@dataclass(slots=True)
+class HealthWatch:
+    """Follow the passes of one engine.
+
+    :param moved_at: when a pass was last seen to begin, or nothing ran.
+    """
+
+    step: int = -1
+    epoch: int = -1
+    moved_at: float = 0
+
+    def handle(self, state: EngineState, now: float) -> EngineHealth:
+        """Take a report.
+
+        :returns: what it says of the engine.
+        """
+        idle = state.running + state.waiting == 0
+        moved = state.step != self.step or state.epoch != self.epoch
+        if idle or moved:
+            self.moved_at = now
+        self.step = state.step
+        self.epoch = state.epoch
+        stalled = now - self.moved_at > STALLED_S
+        steps = round(max(1.0, state.pace) / PACE_STEP)
+        return EngineHealth(
+            state.group,
+            state.epoch,
+            state.is_open and not stalled,
+            steps * PACE_STEP,
+        )
+
+
+def make_health_watch() -> HealthWatch:
+    """Make a watch that saw no report.
+
+    :returns: the watch.
+    """
+    return HealthWatch()
--- a/packages/comfreyarch-core/src/comfreyarch_core/handover.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/handover.py
@@ -13,7 +13,7 @@
 # Less time than this is not worth another send.
 MIN_LEFT_S = 0.03
 # Sends of one request that upstreams may reject as not run.
-MAX_REJECTED = 3
+MAX_REJECTED = 6
 # Retries of a request under whose runs connections broke.
 MAX_BROKEN = 3
 
@@ -23,6 +23,7 @@
 
     unreachable = 'unreachable'
     rejected = 'rejected'
+    replaced = 'replaced'
     broken = 'broken'
     silent = 'silent'
     spoilt = 'spoilt'
@@ -30,7 +31,7 @@
 
 
 # Nothing of the request can have run after these.
-NOT_RUN = frozenset((Ending.unreachable, Ending.rejected))
+NOT_RUN = frozenset((Ending.unreachable, Ending.rejected, Ending.replaced))
 
 
 @dataclass(slots=True)
@@ -41,7 +42,7 @@
     :param attempts: upstreams that may run it, at most.
     :param deadline: time at which the caller stops waiting.
     :param runs: sends that may have run.
-    :param tried: upstreams that it was sent to.
+    :param tried: upstreams that may have run it.
     """
 
     repeatable: bool
@@ -53,10 +54,10 @@
 
     def ended(self, name: str, ending: Ending) -> None:
         """Note how a send to an upstream ended."""
-        self.tried.add(name)
         if ending in NOT_RUN:
             self.rejected += 1
         else:
+            self.tried.add(name)
             self.runs += 1
 
     def may_send(self, now: float) -> bool:
--- a/packages/comfreyarch-core/src/comfreyarch_core/placing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/placing.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
@@ -21,8 +22,16 @@
 # Pauses after failures in a row: the first, and the longest.
 FIRST_PAUSE_S = 0.4
 LONGEST_PAUSE_S = 3.0
-# Pause after an upstream refused a request as not run.
+# Pauses after refusals as not run, in a row: the first, and the longest.
 FULL_PAUSE_S = 0.15
+LONGEST_FULL_PAUSE_S = 1.2
+# Pause after an upstream said that another one has its address.
+REPLACED_PAUSE_S = 30.0
+# What a sidecar told of an engine counts for this long.
+HEALTH_S = 3.0
+# Load that a slow rank is charged for each part of its slowness: it holds
+# back all ranks of its group.
+SLOW_LOAD = 2.0
 # Weight of the newest outcome in the share of failed requests.
 OUTCOME_WEIGHT = 0.15
 # Extra load that an upstream is charged for failing all its requests.
@@ -46,7 +55,9 @@
     :param in_flight: own requests there now.
     :param strays: requests there that no entry tells of, when reported.
     :param failed_share: share of late outcomes that were failures.
+    :param refusals: refusals as not run, in a row.
     :param paused_until: no new request before.
+    :param health: what the sidecar beside it told last, if any.
     """
 
     entry: UpstreamEntry
@@ -54,8 +65,26 @@
     strays: float = 0
     reported_at: float = 0
     failures: int = 0
+    refusals: int = 0
     failed_share: float = 0
     paused_until: float = 0
+    health: EngineHealth | None = None
+    health_at: float = 0
+
+    def healthy(self, now: float) -> bool:
+        """Tell whether the sidecar beside it lets it take work.
+
+        :returns: True also where no sidecar was heard of late.
+        """
+        health = self.known_health(now)
+        return health is None or health.usable
+
+    def known_health(self, now: float) -> EngineHealth | None:
+        """Give what the sidecar told, while that counts.
+
+        :returns: None where no sidecar was heard of late.
+        """
+        return self.health if now - self.health_at < HEALTH_S else None
 
     def strays_now(self, now: float) -> float:
         """Tell the faded number of strays.
@@ -106,6 +135,8 @@
 
         :returns: False where a further request would wait there.
         """
+        if view.paused_until > now or not view.healthy(now):
+            return False
         return self.total(view, now) < view.entry.slots
 
     def choose(
@@ -123,7 +154,6 @@
             view
             for view in self.services.get(service, ())
             if view.entry.name not in avoid
-            and view.paused_until <= now
             and self.has_room(view, now)
         ]
         if not ready:
@@ -140,6 +170,9 @@
         near = view.entry.availability_zone == self.zone
         load = (self.total(view, now) + 1) / max(1, view.entry.slots)
         load += FAILURE_LOAD * view.failed_share
+        health = view.known_health(now)
+        if health is not None:
+            load += SLOW_LOAD * (health.pace - 1)
         return load - (NEAR_BONUS if near else 0)
 
     def reported(self, name: str, report: LoadReport, now: float) -> None:
@@ -154,8 +187,44 @@
     def rejected(self, name: str, now: float) -> None:
         """Note that an upstream took no more: it is left alone a moment."""
         view = self.views.get(name)
+        if view is None:
+            return
+        pause = min(FULL_PAUSE_S * 2**view.refusals, LONGEST_FULL_PAUSE_S)
+        view.refusals += 1
+        view.paused_until = max(view.paused_until, now + pause)
+
+    def replaced(self, name: str, now: float) -> None:
+        """Note that another upstream has the address by now."""
+        view = self.views.get(name)
         if view is not None:
-            view.paused_until = max(view.paused_until, now + FULL_PAUSE_S)
+            view.paused_until = now + REPLACED_PAUSE_S
+
+    def heard_health(
+        self,
+        address: str,
+        health: EngineHealth,
+        now: float,
+    ) -> UpstreamView | None:
+        """Take what a sidecar tells of the engine at an address.
+
+        :returns: its view, None where no upstream is listed there.
+        """
+        for view in self.views.values():
+            if view.entry.address != address:
+                continue
+            known = view.health
+            reopened = health.usable and (
+                known is None
+                or not known.usable
+                or known.epoch != health.epoch
+            )
+            if reopened:
+                view.paused_until = 0
+                view.refusals = 0
+            view.health = health
+            view.health_at = now
+            return view
+        return None
 
     def succeeded(self, name: str) -> None:
         """Note that an upstream answered as it should."""
@@ -163,6 +232,7 @@
         if view is None:
             return
         view.failures = 0
+        view.refusals = 0
         view.paused_until = 0
         view.failed_share *= 1 - OUTCOME_WEIGHT
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -19,6 +19,7 @@
     :param name: the identifier of this life of the upstream.
     :param address: ``host:port``.
     :param cold_s: seconds for which it is still slow after its start.
+    :param listed: version of the store at which the entry was written.
     """
 
     name: str
@@ -28,6 +29,7 @@
     slots: int
     leaving: bool
     cold_s: float = 0
+    listed: int = 0
 
 
 @dataclass(slots=True)
@@ -59,11 +61,21 @@
         listed = {entry.name: entry for entry in entries}
         for name in self.entries.keys() - listed.keys():
             self.drop(name, now)
-        self.lapsing -= listed.keys()
-        self.entries.update(listed)
+        for entry in listed.values():
+            self.change(entry)
 
     def change(self, entry: UpstreamEntry) -> None:
-        """Take one new or changed entry."""
+        """Take one new or changed entry.
+
+        An older entry of the same address belongs to an upstream that ended.
+        """
+        for other in list(self.entries.values()):
+            if other.name == entry.name or other.address != entry.address:
+                continue
+            if other.listed > entry.listed:
+                return
+            self.entries.pop(other.name)
+            self.lapsing.discard(other.name)
         self.lapsing.discard(entry.name)
         self.entries[entry.name] = entry
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -13,13 +13,19 @@
 from gevent.pywsgi import WSGIServer
 
 from comfreyarch_core.routetable import RouteTable
-from comfreyarch_core.tablebelief import Change
+from comfreyarch_core.tablebelief import Change, TableRow
 from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
 from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.dialect import Dialect
 from comfreyarch_daemon.directentry import DirectEntry, DirectSettings
 from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.healthnews import (
+    HEALTH,
+    HELLO_S,
+    read_health,
+    write_hello,
+)
 from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import PeerLoad, Peers
@@ -37,6 +43,7 @@
 GC_THRESHOLDS = (20_000, 20, 20)
 # How often lapsed entries, idle connections and the settings are looked at.
 TICK_S = 0.5
+HELLO_TICKS = int(HELLO_S / TICK_S)
 # The balancer in front notices a leaving entry within about this time.
 ROTATION_S = 3.0
 # Part of the grace after which new requests are refused and idle
@@ -58,9 +65,10 @@
     open_configuration: Callable[[DirectSettings], TableSource]
     open_upstreams: Callable[[DirectSettings], TableSource]
     open_peers: Callable[[DirectSettings], Peers]
+    open_sidecars: Callable[[DirectSettings], Peers]
     configuration_key: str
     decode_configuration: Callable[[bytes], RouteTable]
-    decode_upstream: Callable[[str, bytes], UpstreamEntry]
+    decode_upstream: Callable[[str, bytes, int], UpstreamEntry]
 
 
 class ConfigurationListener:
@@ -109,7 +117,7 @@
     def changed(self, change: Change) -> None:
         """Take rows of upstreams."""
         for row in change.rows:
-            self.take(row.key, row.content)
+            self.take(row)
         now = boot_time()
         for key in change.removed:
             self.known.drop(key, now)
@@ -120,10 +128,11 @@
             )
         self.entry.listed(self.known.entries.values())
 
-    def take(self, key: str, content: bytes) -> None:
+    def take(self, row: TableRow) -> None:
         """Take one row; a malformed one is logged once."""
+        key = row.key
         try:
-            entry = self.adapter.decode_upstream(key, content)
+            entry = self.adapter.decode_upstream(key, row.content, row.version)
         except ValueError as error:
             if key not in self.malformed:
                 self.malformed.add(key)
@@ -169,6 +178,8 @@
         'peer_load',
         'peers',
         'settings',
+        'sidecar_table',
+        'sidecars',
         'stopped',
         'stopping',
         'upstreams',
@@ -211,6 +222,7 @@
         ]
         dispatcher = self.entry.dispatcher
         self.peers = adapter.open_peers(settings)
+        self.sidecar_table = adapter.open_sidecars(settings)
         self.datagrams = Datagrams(settings.peers, self.log)
         self.peer_load = PeerLoad(
             settings.node,
@@ -221,6 +233,8 @@
             self.log,
         )
         dispatcher.changed = self.peer_load.changed.set
+        self.datagrams.handlers[HEALTH] = self.heard_health
+        self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
         self.stopping = False
@@ -273,8 +287,12 @@
 
     def tick(self) -> None:
         """Do what is due now and then."""
+        ticks = 0
         while True:
             gevent.sleep(TICK_S)
+            ticks += 1
+            if ticks % HELLO_TICKS == 0:
+                self.greet()
             self.upstreams.tick()
             self.entry.forwarder.pool.trim()
 
@@ -285,17 +303,46 @@
             try:
                 self.peers.join(self.settings.node, self.settings.peers)
                 members = self.peers.members()
+                sidecars = self.sidecar_table.members()
             except StoreAway as error:
                 self.log.write('peers_unknown', why=str(error))
                 gevent.sleep(pause)
                 pause = min(LONGEST_RETRY_S, pause * 2)
                 continue
             self.peer_load.know(members)
+            self.sidecars |= set(sidecars.values())
+            self.greet()
             self.entry.forwarder.entries = max(1, len(members))
             self.log.write('peers_listed', peers=len(members))
             pause = FIRST_RETRY_S
             gevent.sleep(PEERS_S)
 
+    def greet(self) -> None:
+        """Ask the sidecars to tell of their engines."""
+        message = write_hello(self.settings.node)
+        for address in self.sidecars:
+            self.datagrams.send(message, address)
+
+    def heard_health(self, message: list[Any], address: str) -> None:
+        """Take what a sidecar tells of its engine."""
+        self.sidecars.add(address)
+        news = read_health(message)
+        placer = self.entry.dispatcher.placer
+        known = {
+            view.entry.address: view.health for view in placer.views.values()
+        }.get(news.engine)
+        view = placer.heard_health(news.engine, news.health, boot_time())
+        if view is None or known == news.health:
+            return
+        self.log.write(
+            'engine_health',
+            upstream=view.entry.name,
+            group=news.health.group,
+            usable=news.health.usable,
+            pace=news.health.pace,
+        )
+        self.entry.dispatcher.pump()
+
     def reload(self) -> None:
         """Read the settings anew; one that is unusable changes nothing."""
         try:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -446,7 +446,9 @@
         :raises Rejected: where the request did not run.
         :raises Broken: where the answer is not the upstream's own.
         """
-        if head.not_run or answer.status == MISDIRECTED:
+        if answer.status == MISDIRECTED:
+            raise Replaced('another upstream has this address')
+        if head.not_run:
             raise Rejected(f'status {answer.status}, not run')
         if not head.signed or head.encoded:
             raise Broken(f'status {answer.status}, not its own answer')
@@ -562,6 +564,8 @@
         match ending:
             case Ending.rejected:
                 placer.rejected(name, now)
+            case Ending.replaced:
+                placer.replaced(name, now)
             case Ending.failed:
                 placer.erred(name)
             case _:
@@ -590,6 +594,10 @@
     """Report that the upstream did not run the request."""
 
 
+class Replaced(CallError):
+    """Report that another upstream has the address; nothing ran."""
+
+
 class Failed(CallError):
     """Report that the upstream ran the request and failed."""
 
@@ -602,6 +610,8 @@
     match error:
         case Rejected():
             return Ending.rejected
+        case Replaced():
+            return Ending.replaced
         case Unreachable():
             return Ending.unreachable
         case Silent():
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -11,10 +11,18 @@
 import gevent
 from gevent.event import Event
 
+from comfreyarch_core.enginehealth import EngineHealth, make_health_watch
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.engineapi import EngineApi
 from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.healthnews import (
+    FORGET_S,
+    HELLO,
+    REPEAT_S,
+    HealthNews,
+    write_health,
+)
 from comfreyarch_daemon.mapleader import Leadership, MapLeader, MapRules
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import Peers
@@ -97,7 +105,11 @@
         'addresses',
         'agent',
         'datagrams',
+        'entries',
         'fence',
+        'health',
+        'health_at',
+        'health_told',
         'lead_address',
         'lead_heard_at',
         'leader',
@@ -121,7 +133,12 @@
         self.log = EventLog(settings.node)
         self.metrics = Metrics()
         self.datagrams = Datagrams(settings.peers, self.log)
+        self.health = make_health_watch()
+        self.health_told: EngineHealth | None = None
+        self.health_at = 0.0
+        self.entries: dict[str, float] = {}
         self.datagrams.handlers = {
+            HELLO: self.heard_hello,
             STATE: self.heard_state,
             COUNTS: self.heard_counts,
             ORDER: self.heard_order,
@@ -203,6 +220,7 @@
         if self.leader is not None:
             self.leader.heard_state(news)
         now = boot_time()
+        self.tell_health(state, now)
         plain = replace(state, step=0, running=0, waiting=0)
         recent = now - self.told_at < TELL_S
         if plain == self.told and recent and not urgent:
@@ -213,6 +231,30 @@
         for address in self.audience():
             self.datagrams.send(message, address)
 
+    def tell_health(self, state: EngineState, now: float) -> None:
+        """Tell the entries how the engine is, when that changes."""
+        health = self.health.handle(state, now)
+        if health == self.health_told and now - self.health_at < REPEAT_S:
+            return
+        if health != self.health_told:
+            self.log.write('engine_health', usable=health.usable, pace=health.pace)
+        self.health_told = health
+        self.health_at = now
+        message = write_health(HealthNews(self.settings.engine, health))
+        for address, heard_at in list(self.entries.items()):
+            if now - heard_at > FORGET_S:
+                self.entries.pop(address)
+            else:
+                self.datagrams.send(message, address)
+
+    def heard_hello(self, _message: list[Any], address: str) -> None:
+        """Take an entry's wish to be told."""
+        fresh = address not in self.entries
+        self.entries[address] = boot_time()
+        if fresh and self.health_told is not None:
+            news = HealthNews(self.settings.engine, self.health_told)
+            self.datagrams.send(write_health(news), address)
+
     def audience(self) -> set[str]:
         """List who needs the own state.
 
