--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -39,6 +39,10 @@
 PREPARE_REPEAT_S = 0.15
 
 
+# Why a change ended whose step could not be held.
+NOT_HELD = 'not held'
+
+
 class Phase(enum.StrEnum):
     """Say what the leader waits for."""
 
@@ -322,7 +326,7 @@
             return self.enter(Phase.arming, now)
         if now - self.began > PREPARE_TIMEOUT_S:
             self.phase = Phase.idle
-            return [Settled(None, 'not held')]
+            return [Settled(None, NOT_HELD)]
         if own.step < self.released:
             return []
         return self.order(self.own, HoldStep(own.step + 1), now)
@@ -391,6 +395,11 @@
 
     def release(self, now: float) -> list[Outcome]:
         """Let the held step begin."""
+        foreign = self.release_foreign(now) if self.aborted else []
+        if foreign is None:
+            return []
+        if foreign:
+            return foreign
         own = self.states[self.own]
         if own.held is None:
             self.phase = Phase.idle
@@ -399,10 +408,32 @@
         self.released = max(self.released, own.held)
         return self.order(self.own, ReleaseStep(own.held), now)
 
+    def release_foreign(self, now: float) -> list[Outcome] | None:
+        """Release the holds that a former leader left at other ranks.
+
+        :returns: orders to send, None while their answers are awaited.
+        """
+        held = [
+            state
+            for state in self.states.values()
+            if state.held is not None and state.rank != self.own
+        ]
+        orders = [
+            outcome
+            for state in held
+            for outcome in self.order(
+                state.rank,
+                ReleaseStep(state.held or 0),
+                now,
+            )
+        ]
+        return None if held and not orders else orders
+
     def began_term(self, step: int) -> None:
-        """Note the step at which a term began.
+        """Note the step at which a term of a young process began.
 
-        A former leader may have released the next one, and late.
+        The process before it at this rank may have sent a release of the
+        next step that is carried out late.
 
         :param step: the last step begun at the own rank.
         """
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -15,12 +15,14 @@
 from comfreyarch_daemon.settings import split_address
 
 LONGEST_DATAGRAM = 65_000
+# Pause after the system failed to read a datagram.
+RETRY_S = 0.1
 
 
 class Datagrams:
     """Own one socket; messages are lists that begin with a tag."""
 
-    __slots__ = ('address', 'handlers', 'log', 'sock', 'worker')
+    __slots__ = ('address', 'closed', 'handlers', 'log', 'sock', 'worker')
 
     def __init__(self, address: str, log: EventLog) -> None:
         """Prepare to listen on ``address``."""
@@ -29,6 +31,7 @@
         self.handlers: dict[str, Callable[[list[Any], str], None]] = {}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.worker: gevent.Greenlet | None = None
+        self.closed = False
 
     def start(self) -> None:
         """Start listening.
@@ -40,6 +43,7 @@
 
     def close(self) -> None:
         """Stop listening."""
+        self.closed = True
         if self.worker is not None:
             self.worker.kill(block=False)
         self.sock.close()
@@ -58,7 +62,14 @@
     def listen(self) -> None:
         """Take messages as they come."""
         while True:
-            received, sender = self.sock.recvfrom(LONGEST_DATAGRAM)
+            try:
+                received, sender = self.sock.recvfrom(LONGEST_DATAGRAM)
+            except OSError as error:
+                if self.closed:
+                    return
+                self.log.write('datagrams_failed', why=str(error))
+                gevent.sleep(RETRY_S)
+                continue
             address = f'{sender[0]}:{sender[1]}'
             try:
                 self.take(received, address)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -45,9 +45,10 @@
 TICK_S = 0.5
 HELLO_TICKS = int(HELLO_S / TICK_S)
 # The balancer in front notices a leaving entry within about this time.
-ROTATION_S = 3.0
-# Part of the grace after which new requests are refused and idle
-# connections are closed.
+ROTATION_S = 2.3
+# New requests are refused from then on: they might not end in time.
+ACCEPT_S = 3.0
+# How often a leaving entry looks whether its requests have ended.
 END_CHECK_S = 0.05
 # How often the entries are listed; they hear of new ones by themselves.
 PEERS_S = 60.0
@@ -370,8 +371,9 @@
         self.entry.leaving = True
         self.log.write('stopping', open_requests=self.entry.open_requests)
         gevent.sleep(ROTATION_S)
-        self.entry.refuses = True
         while self.entry.open_requests and boot_time() < end:
+            if boot_time() - began > ACCEPT_S:
+                self.entry.refuses = True
             gevent.sleep(END_CHECK_S)
         self.close()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -6,8 +6,10 @@
 
 import gevent
 
+from comfreyarch_core.enginehealth import make_health_watch
 from comfreyarch_core.enginestate import EngineState, GroupMap
 from comfreyarch_core.mapcontrol import (
+    NOT_HELD,
     ChangeMap,
     MapControl,
     Outcome,
@@ -35,7 +37,9 @@
 # A map is planned only on so many choices of experts, by set.
 LEAST_CHOICES = 400
 # Time between two plans.
-PLAN_S = 0.4
+PLAN_S = 0.3
+# A leader that did not run for so long may have been replaced.
+PAUSED_S = 0.45
 # States of a group that switches are told one after the other.
 UNSETTLED_S = 0.5
 # A rank that was not heard for so long is asked itself, at a price.
@@ -70,6 +74,7 @@
 class MapLeader:
     """Own one term of leading a group.
 
+    :param stuck: the term is over; another rank should lead.
     :param tell: sends an order to a rank's sidecar.
     :param engine_at: opens an engine by its address.
     """
@@ -81,14 +86,18 @@
         'engines',
         'experts',
         'group',
+        'health',
         'heard_at',
         'leadership',
         'limits',
         'log',
         'metrics',
+        'moving',
         'planned',
         'pressure',
+        'stuck',
         'tell',
+        'ticked_at',
         'unsettled_since',
         'workers',
     )
@@ -109,8 +118,11 @@
         self.group = own.group
         self.limits = rules.limits
         self.pressure = make_pressure(rules.figures)
-        self.control.began_term(own.step)
         self.unsettled_since = 0.0
+        self.stuck = False
+        self.ticked_at = boot_time()
+        self.health = make_health_watch()
+        self.moving = True
         self.leadership = leadership
         self.tell = tell
         self.engine_at = engine_at
@@ -145,16 +157,43 @@
         while True:
             idle = self.control.phase == Phase.idle
             gevent.sleep(IDLE_TICK_S if idle else TICK_S)
+            if not self.was_awake():
+                return
+            self.ticked_at = boot_time()
             self.do(self.control.handle(Tick(), boot_time()))
 
+    def was_awake(self) -> bool:
+        """Tell whether this process ran all the time.
+
+        A leader that was paused does nothing more: another one may lead.
+
+        :returns: False after a pause; the term is over then.
+        """
+        paused_s = boot_time() - self.ticked_at
+        if paused_s > PAUSED_S and not self.stuck:
+            self.stuck = True
+            self.log.write('leader_paused', paused_s=round(paused_s, 3))
+        return not self.stuck
+
+    def seed(self, news: StateNews) -> None:
+        """Take what was heard of a rank before this term began."""
+        rank = news.state.rank
+        self.engines[rank] = news.engine
+        reported = Reported(news.state, news.number)
+        self.do(self.control.handle(reported, boot_time()))
+
     def heard_state(self, news: StateNews) -> None:
         """Take a rank's state."""
+        if not self.was_awake():
+            return
         rank = news.state.rank
         self.engines[rank] = news.engine
         self.heard_at[rank] = boot_time()
         now = boot_time()
         own = rank == self.control.own
         self.pressure.handle(news.state, own, now)
+        if own:
+            self.moving = self.health.handle(news.state, now).usable
         reported = Reported(news.state, news.number)
         self.do(self.control.handle(reported, now))
 
@@ -173,6 +212,7 @@
                     self.send(outcome)
                 case Settled(version, why):
                     self.settled(version, why)
+                    self.stuck = why == NOT_HELD
 
     def send(self, send: Send) -> None:
         """Send an order by the rank's sidecar, or directly."""
@@ -246,12 +286,16 @@
         """Plan and begin changes for as long as the term lasts."""
         while True:
             gevent.sleep(PLAN_S)
+            if not self.was_awake():
+                return
             if self.control.phase != Phase.idle:
                 continue
             content = self.content()
             if content is None:
+                if self.unsettled():
+                    self.ask_silent()
                 continue
-            if self.control.quiet():
+            if self.control.quiet() and self.moving:
                 self.unsettled_since = 0
                 if self.pressure.is_high(self.control.size):
                     self.plan_once(content)
@@ -262,8 +306,14 @@
     def unsettled(self) -> bool:
         """Tell whether a former leader left a hold or an armed rank.
 
+        A group that stands still may wait for a hold at a rank whose sidecar
+        is silent, too.
+
         :returns: True where that has to be settled first.
         """
+        own = self.control.states.get(self.control.own)
+        if own is not None and own.is_open and not self.moving:
+            return True
         if self.control.at_rest() or self.control.switching():
             self.unsettled_since = 0
             return False
@@ -272,6 +322,43 @@
             self.unsettled_since = now
         return now - self.unsettled_since > UNSETTLED_S
 
+    def ask_silent(self) -> None:
+        """Read the experts of ranks whose sidecars are silent."""
+        own = self.control.states.get(self.control.own)
+        now = boot_time()
+        for rank, address in list(self.engines.items()):
+            silent = now - self.heard_at.get(rank, 0) > SILENT_S
+            if own is None or not silent or self.knows(rank, own):
+                continue
+            engine = self.engine_at(address)
+            try:
+                held = engine.held()
+            except EngineAway as error:
+                self.log.write('engine_silent', rank=rank, why=str(error))
+                continue
+            finally:
+                engine.close()
+            self.experts[rank] = CountNews(
+                self.group,
+                rank,
+                own.epoch,
+                held.version,
+                held.experts,
+                (),
+            )
+
+    def knows(self, rank: int, own: EngineState) -> bool:
+        """Tell whether a rank's experts of the map in use are known.
+
+        :returns: False where they are not, or of another map.
+        """
+        news = self.experts.get(rank)
+        return (
+            news is not None
+            and news.version == own.version
+            and news.epoch == own.epoch
+        )
+
     def content(self) -> GroupMap | None:
         """Put the map in use together from what the ranks told.
 
@@ -279,16 +366,12 @@
         """
         control = self.control
         own = control.states.get(control.own)
-        known = [self.experts.get(rank) for rank in range(control.size)]
         if own is None:
             return None
-        told: list[CountNews] = []
-        for news in known:
-            if news is None or news.version != own.version:
-                return None
-            if news.epoch != own.epoch:
-                return None
-            told.append(news)
+        ranks = range(control.size)
+        if not all(self.knows(rank, own) for rank in ranks):
+            return None
+        told = [self.experts[rank] for rank in ranks]
         sets = range(len(told[0].experts))
         return tuple(
             tuple(news.experts[number] for news in told) for number in sets
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -53,9 +53,12 @@
 GC_THRESHOLDS = (20_000, 20, 20)
 # A leader tells that it lives; ranks follow another one after a silence,
 # the lowest first.
-LEAD_S = 0.2
-LEAD_SILENT_S = 0.8
-LEAD_STEP_S = 0.4
+LEAD_S = 0.15
+LEAD_SILENT_S = 0.55
+LEAD_STEP_S = 0.25
+# An engine may carry an order out so late; a process that is younger cannot
+# know what the one before it has ordered.
+LATE_ORDER_S = 15.0
 # States are told to the ranks that may lead next, too.
 CANDIDATES = 2
 # How often the peers are listed until all ranks were heard.
@@ -104,11 +107,13 @@
         'adapter',
         'addresses',
         'agent',
+        'born_at',
         'datagrams',
         'entries',
         'fence',
         'health',
         'health_at',
+        'heard',
         'health_told',
         'lead_address',
         'lead_heard_at',
@@ -116,6 +121,8 @@
         'leadership',
         'log',
         'metrics',
+        'not_before',
+        'path',
         'peers',
         'rules',
         'settings',
@@ -129,6 +136,7 @@
         """Build all parts; nothing runs before ``start``."""
         settings = adapter.read_settings(path)
         self.adapter = adapter
+        self.path = path
         self.settings = settings
         self.log = EventLog(settings.node)
         self.metrics = Metrics()
@@ -159,8 +167,11 @@
         self.fence = 0
         self.lead_address = ''
         self.lead_heard_at = boot_time()
+        self.born_at = boot_time()
+        self.not_before = 0.0
         self.addresses: dict[int, str] = {}
         self.told: EngineState | None = None
+        self.heard: dict[int, StateNews] = {}
         self.told_at = 0.0
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -186,6 +197,15 @@
         self.log.write('stop')
         self.stopped.set()
 
+    def reload(self) -> None:
+        """Read the settings anew; addresses stay until the next start."""
+        try:
+            settings = self.adapter.read_settings(self.path)
+        except SettingsError as error:
+            self.log.write('reload_failed', why=str(error))
+            return
+        self.log.write('reload', changed=settings != self.settings)
+
     def find_peers(self) -> None:
         """Make this sidecar known to its group and learn of the others."""
         tries = 0
@@ -280,6 +300,7 @@
         if own is None or news.state.group != own.group:
             return
         self.addresses[news.state.rank] = address
+        self.heard[news.state.rank] = news
         if self.leader is not None:
             self.leader.heard_state(news)
 
@@ -335,6 +356,8 @@
         while True:
             gevent.sleep(LEAD_S)
             own = self.agent.state
+            if self.leader is not None and self.leader.stuck:
+                self.resign(self.leader)
             if self.leader is not None:
                 self.tell_lead(self.leader)
             elif own is not None and own.size > 1 and self.is_due(own):
@@ -353,9 +376,26 @@
 
         :returns: False while a leader is heard, or a lower rank may follow.
         """
-        silent_s = boot_time() - self.lead_heard_at
+        now = boot_time()
+        if now < self.not_before or (self.is_young(now) and own.held is not None):
+            return False
+        silent_s = now - self.lead_heard_at
         return silent_s > LEAD_SILENT_S + LEAD_STEP_S * own.rank
 
+    def is_young(self, now: float) -> bool:
+        """Tell whether orders of the process before may still come.
+
+        :returns: True for some seconds after the start.
+        """
+        return now - self.born_at < LATE_ORDER_S
+
+    def resign(self, leader: MapLeader) -> None:
+        """Let another rank settle what this one cannot."""
+        self.log.write('resigned', group=leader.group, fence=leader.fence)
+        leader.close()
+        self.leader = None
+        self.not_before = boot_time() + LATE_ORDER_S
+
     def claim(self, own: EngineState) -> None:
         """Try to become the leader."""
         self.lead_heard_at = boot_time()
@@ -387,6 +427,11 @@
             self.log,
             self.metrics,
         )
+        for news in self.heard.values():
+            if news.state.epoch == own.epoch and news.state.rank != own.rank:
+                self.leader.seed(news)
+        if self.is_young(boot_time()):
+            self.leader.control.began_term(own.step)
         self.leader.start()
         self.tell_lead(self.leader)
 
@@ -410,4 +455,5 @@
         sys.exit(EXIT_SETTINGS)
     gevent.signal_handler(signal.SIGTERM, node.close)
     gevent.signal_handler(signal.SIGINT, node.close)
+    gevent.signal_handler(signal.SIGHUP, node.reload)
     node.stopped.wait()
