--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -38,7 +38,7 @@
 # Urgency of an upstream's queue for the best priority of a caller.
 URGENCIES = 10
 DEFAULT_PRIORITY = 5
-START_RETRY_AFTER_S = 0.5
+START_RETRY_AFTER_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
