--- a/Makefile
+++ b/Makefile
@@ -2,16 +2,16 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-CODE := packages standins bench tests
+CODE := packages platform standins bench tests
 
 .PHONY: demo test lint format bench soak clean
 
-$(STAMP): requirements.txt packages/comfreyarch-core/pyproject.toml packages/comfreyarch-daemon/pyproject.toml packages/comfreyarch-cli/pyproject.toml
+$(STAMP): requirements.txt packages/comfreyarch-core/pyproject.toml packages/comfreyarch-daemon/pyproject.toml packages/comfreyarch-cli/pyproject.toml platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check setuptools==83.0.0
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation \
-		-e packages/comfreyarch-core -e packages/comfreyarch-daemon -e packages/comfreyarch-cli
+		-e packages/comfreyarch-core -e packages/comfreyarch-daemon -e packages/comfreyarch-cli -e platform
 	touch $(STAMP)
 
 demo: $(STAMP)
--- a/packages/comfreyarch-core/src/comfreyarch_core/eventcutter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/eventcutter.py
@@ -38,9 +38,7 @@
         if not end:
             return b''
         parts = (whole + end).split(EVENT_END)[:-1]
-        return b''.join(
-            part + EVENT_END for part in parts if self.takes(part)
-        )
+        return b''.join(part + EVENT_END for part in parts if self.takes(part))
 
     def takes(self, event: bytes) -> bool:
         """Tell whether an event is the next one.
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -41,6 +41,8 @@
 
 # Why a change ended whose step could not be held.
 NOT_HELD = 'not held'
+# Why all ended: another leader with a higher fence is at work.
+DEPOSED = 'deposed'
 
 
 class Phase(enum.StrEnum):
@@ -125,6 +127,7 @@
     :param content: the map in use, as far as is known.
     :param sent_at: when a rank was last sent an order.
     :param numbers: the last reading taken of each rank.
+    :param deposed: a leader with a higher fence was seen; this one is over.
     :param released: the last step that was released, or may have been.
     """
 
@@ -145,6 +148,7 @@
     sent_at: dict[int, float] = field(default_factory=dict)
     numbers: dict[int, int] = field(default_factory=dict)
     released: int = -1
+    deposed: bool = False
 
     def handle(self, message: Message, now: float) -> list[Outcome]:
         """Take a message and decide.
@@ -152,6 +156,8 @@
         :param now: seconds of a steady clock.
         :returns: orders to send, and the end of a change.
         """
+        if self.deposed:
+            return []
         match message:
             case Reported(state, number):
                 return self.reported(state, number, now)
@@ -232,11 +238,24 @@
         self.states[state.rank] = state
         if known is not None and state != known:
             self.sent_at.pop(state.rank, None)
+        if self.is_foreign(state):
+            self.deposed = True
+            self.phase = Phase.idle
+            return [Settled(None, DEPOSED)]
         if self.phase != Phase.idle and state.epoch > self.epoch:
             self.phase = Phase.idle
             return [Settled(None, 'new epoch')]
         return self.advance(now)
 
+    def is_foreign(self, state: EngineState) -> bool:
+        """Tell whether a rank shows the work of a later leader.
+
+        :returns: True where this leader must not touch the group any more.
+        """
+        armed = 0 if state.armed is None else state.armed.version
+        highest = max(armed, state.prepared or 0, state.version)
+        return highest >= (self.fence + 1) * MAPS_A_FENCE
+
     def advance(self, now: float) -> list[Outcome]:
         """Send what is due, and go on where a phase is complete."""
         match self.phase:
@@ -333,6 +352,8 @@
 
     def arm(self, now: float) -> list[Outcome]:
         """Arm all ranks for the held step."""
+        if not self.holds():
+            return self.hold_again(now)
         waiting = [
             rank
             for rank in range(self.size)
@@ -351,6 +372,19 @@
             for outcome in self.order(rank, order, now)
         ]
 
+    def holds(self) -> bool:
+        """Tell whether the own hold keeps the next step from beginning.
+
+        :returns: False where another leader released it.
+        """
+        own = self.states[self.own]
+        return own.held is not None and own.held == own.step + 1
+
+    def hold_again(self, now: float) -> list[Outcome]:
+        """Hold anew, and settle what is there."""
+        self.recovering = True
+        return self.enter(Phase.holding, now)
+
     def is_armed(self, state: EngineState) -> bool:
         """Tell whether a rank is armed for this change.
 
@@ -373,6 +407,8 @@
 
     def abort(self, now: float) -> list[Outcome]:
         """Disarm all ranks and make late orders impossible."""
+        if not self.holds():
+            return self.hold_again(now)
         waiting = self.unprepared(self.version)
         if not waiting:
             return self.enter(Phase.releasing, now)
--- a/packages/comfreyarch-core/src/comfreyarch_core/placing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/placing.py
@@ -153,8 +153,7 @@
         ready = [
             view
             for view in self.services.get(service, ())
-            if view.entry.name not in avoid
-            and self.has_room(view, now)
+            if view.entry.name not in avoid and self.has_room(view, now)
         ]
         if not ready:
             return None
@@ -214,9 +213,7 @@
                 continue
             known = view.health
             reopened = health.usable and (
-                known is None
-                or not known.usable
-                or known.epoch != health.epoch
+                known is None or not known.usable or known.epoch != health.epoch
             )
             if reopened:
                 view.paused_until = 0
--- a/packages/comfreyarch-core/src/comfreyarch_core/tablebelief.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tablebelief.py
@@ -9,6 +9,10 @@
 from dataclasses import dataclass, field
 
 
+# Removed keys that are remembered.
+MOST_GONE = 1000
+
+
 @dataclass(frozen=True, slots=True)
 class TableRow:
     """Hold one row.
@@ -48,11 +52,13 @@
 
     :param version: the store's version up to which changes are known.
     :param rows: versions of the known rows, by key.
+    :param gone: versions at which lately removed keys went.
     :param whole: a whole reading is needed before changes can be awaited.
     """
 
     version: int = -1
     rows: dict[str, int] = field(default_factory=dict)
+    gone: dict[str, int] = field(default_factory=dict)
     whole: bool = True
 
     def read(self, state: TableState) -> Change | None:
@@ -67,7 +73,7 @@
         present = {row.key for row in state.rows}
         removed = tuple(sorted(self.rows.keys() - present))
         for key in removed:
-            self.rows.pop(key)
+            self.remove(key, state.version)
         return Change(self.newer(state.rows), removed)
 
     def changed(self, state: TableState) -> Change:
@@ -79,9 +85,17 @@
         newer = self.newer(state.rows)
         removed = tuple(row.key for row in newer if row.removed)
         for key in removed:
-            self.rows.pop(key, None)
+            self.remove(key, self.rows[key])
         return Change(tuple(row for row in newer if not row.removed), removed)
 
+    def remove(self, key: str, version: int) -> None:
+        """Forget a key, but not that it went: older rows may come late."""
+        self.rows.pop(key, None)
+        self.gone.pop(key, None)
+        self.gone[key] = version
+        if len(self.gone) > MOST_GONE:
+            self.gone.pop(next(iter(self.gone)))
+
     def history_lost(self) -> None:
         """Note that changes since the last version cannot be had."""
         self.whole = True
@@ -89,14 +103,16 @@
     def newer(self, rows: Iterable[TableRow]) -> tuple[TableRow, ...]:
         """Keep the rows that are newer than what is known.
 
-        :returns: those rows in order.
+        :returns: the last row of each key, in order.
         """
-        kept: list[TableRow] = []
+        kept: dict[str, TableRow] = {}
         for row in rows:
-            if row.version > self.rows.get(row.key, -1):
+            known = self.rows.get(row.key, self.gone.get(row.key, -1))
+            if row.version > known:
                 self.rows[row.key] = row.version
-                kept.append(row)
-        return tuple(kept)
+                kept.pop(row.key, None)
+                kept[row.key] = row
+        return tuple(kept.values())
 
 
 def make_table_belief() -> TableBelief:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callers.py
@@ -16,12 +16,12 @@
 from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.reporting import Outcomes
-from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.requests import (
     BadRequest,
     CallerRequest,
     RequestReader,
 )
+from comfreyarch_daemon.statuslines import StartResponse, status_line
 
 OK_STATUS = 200
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import gevent
 from gevent.pywsgi import WSGIServer
 
 from comfreyarch_core.placing import make_placer
@@ -13,10 +12,8 @@
 from comfreyarch_core.retryshare import RetryLimits
 from comfreyarch_core.routetable import CallerLimits, Route, RouteTable, Team
 from comfreyarch_core.upstreamlist import UpstreamEntry
-from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.callersite import (
     HANDLER_KEY,
-    CallerGone,
     CallerHandler,
     CallerWatch,
 )
@@ -33,6 +30,7 @@
 )
 from comfreyarch_daemon.listening import open_listener
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Urgency of an upstream's queue for the best priority of a caller.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -15,7 +15,6 @@
 from comfreyarch_core.routetable import RouteTable
 from comfreyarch_core.tablebelief import Change, TableRow
 from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
-from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.dialect import Dialect
 from comfreyarch_daemon.directentry import DirectEntry, DirectSettings
@@ -30,6 +29,7 @@
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import PeerLoad, Peers
 from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.tablewatch import (
     FIRST_RETRY_S,
     LONGEST_RETRY_S,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -12,7 +12,11 @@
 )
 from comfreyarch_core.placing import UpstreamView
 from comfreyarch_core.refusals import Kind, Refusal
-from comfreyarch_core.retryshare import RetryLimits, RetryShare, make_retry_share
+from comfreyarch_core.retryshare import (
+    RetryLimits,
+    RetryShare,
+    make_retry_share,
+)
 from comfreyarch_core.routetable import Route, RouteKind
 from comfreyarch_core.waitline import Waiter
 from comfreyarch_daemon.answerparser import Answer
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -9,6 +9,7 @@
 from comfreyarch_core.enginehealth import make_health_watch
 from comfreyarch_core.enginestate import EngineState, GroupMap
 from comfreyarch_core.mapcontrol import (
+    DEPOSED,
     NOT_HELD,
     ChangeMap,
     MapControl,
@@ -212,7 +213,7 @@
                     self.send(outcome)
                 case Settled(version, why):
                     self.settled(version, why)
-                    self.stuck = why == NOT_HELD
+                    self.stuck = why in {NOT_HELD, DEPOSED}
 
     def send(self, send: Send) -> None:
         """Send an order by the rank's sidecar, or directly."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -257,7 +257,9 @@
         if health == self.health_told and now - self.health_at < REPEAT_S:
             return
         if health != self.health_told:
-            self.log.write('engine_health', usable=health.usable, pace=health.pace)
+            self.log.write(
+                'engine_health', usable=health.usable, pace=health.pace
+            )
         self.health_told = health
         self.health_at = now
         message = write_health(HealthNews(self.settings.engine, health))
@@ -377,7 +379,9 @@
         :returns: False while a leader is heard, or a lower rank may follow.
         """
         now = boot_time()
-        if now < self.not_before or (self.is_young(now) and own.held is not None):
+        if now < self.not_before or (
+            self.is_young(now) and own.held is not None
+        ):
             return False
         silent_s = now - self.lead_heard_at
         return silent_s > LEAD_SILENT_S + LEAD_STEP_S * own.rank
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
@@ -56,7 +56,14 @@
     :param answered: answers taken over it so far.
     """
 
-    __slots__ = ('address', 'answered', 'idle_since', 'keep_s', 'parser', 'sock')
+    __slots__ = (
+        'address',
+        'answered',
+        'idle_since',
+        'keep_s',
+        'parser',
+        'sock',
+    )
 
     def __init__(self, address: str) -> None:
         """Name the other end; nothing is opened yet."""
--- /dev/null
+++ b/tests/test_retryshare.py
@@ -0,0 +1,43 @@
+"""Repeated sends of all entries together stay within the budget."""
+
+import random
+
+from comfreyarch_core.retryshare import RetryLimits, make_retry_share
+
+LIMITS = RetryLimits(ratio=0.2, allowance=184, window_s=10)
+
+
+def test_the_allowance_is_shared():
+    share = make_retry_share(LIMITS, 10)
+    taken = sum(share.take(0) for _ in range(100))
+    assert taken <= LIMITS.allowance / 10
+
+
+def test_requests_earn_repeats_in_their_window_only():
+    share = make_retry_share(RetryLimits(0.2, 0, 10), 1)
+    for _ in range(100):
+        share.requested(0)
+    assert sum(share.take(5) for _ in range(100)) <= 20
+    assert not share.take(25)
+
+
+def test_all_entries_together_stay_below_the_sum_in_any_window():
+    source = random.Random(7)
+    shares = [make_retry_share(LIMITS, 8) for _ in range(8)]
+    requests: list[float] = []
+    repeats: list[float] = []
+    for tick in range(4000):
+        now = tick / 100
+        share = source.choice(shares)
+        if source.random() < 0.5:
+            share.requested(now)
+            requests.append(now)
+        while source.random() < 0.8:
+            if share.take(now):
+                repeats.append(now)
+    for start in range(30):
+        inside = [at for at in repeats if start <= at < start + 10]
+        asked = [at for at in requests if start <= at < start + 10]
+        before = [at for at in requests if start - 10 <= at < start]
+        earned = LIMITS.ratio * max(len(asked), len(before))
+        assert len(inside) <= earned + LIMITS.allowance
