Fewer calls to the store: one claim a group, changes share calls

Cause: at the start every rank claimed its group before it heard the leader (3 calls each), each of 67 servers' first entries woke 26 entries, and sidecars listed their peers up to three times. Now a rank greets a leader it never heard, changes of 0.25 s share a call, peers are listed once, later.

--- a/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
@@ -33,6 +33,7 @@
     not_ready = 'not_ready'
     retry_budget = 'retry_budget'
     too_large = 'too_large'
+    headers_too_large = 'headers_too_large'
     upstream_failed = 'upstream_failed'
     upstream_refused = 'upstream_refused'
     outcome_unknown = 'outcome_unknown'
@@ -58,6 +59,7 @@
     Kind.not_ready: (503, 'come back once the node has a configuration'),
     Kind.retry_budget: (503, 'come back after the wait'),
     Kind.too_large: (413, 'send a smaller body'),
+    Kind.headers_too_large: (431, 'send fewer or shorter headers'),
     Kind.upstream_failed: (502, 'send again: the request is repeatable'),
     Kind.upstream_refused: (502, 'see the upstream: it refused the call'),
     Kind.outcome_unknown: (
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -2,14 +2,12 @@
 
 import json
 from collections.abc import Generator, Iterable
-from dataclasses import dataclass
 from typing import Any
 
 from gevent.pywsgi import WSGIServer
 
 from comfreyarch_core.placing import make_placer
 from comfreyarch_core.refusals import Kind, Refusal, not_run
-from comfreyarch_core.retryshare import RetryLimits
 from comfreyarch_core.routetable import CallerLimits, Route, RouteTable, Team
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_daemon.callersite import (
@@ -18,6 +16,7 @@
     CallerWatch,
 )
 from comfreyarch_daemon.dialect import CallHead, Dialect, Headers
+from comfreyarch_daemon.directsettings import DirectSettings
 from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.forwarding import (
@@ -39,27 +38,6 @@
 START_RETRY_AFTER_S = 0.05
 
 
-@dataclass(frozen=True, slots=True)
-class DirectSettings:
-    """Hold the settings of a direct entry, passed down and never changed.
-
-    Addresses are ``host:port``, times are in seconds.
-
-    :param grace_s: time from a stop signal to the process's end.
-    """
-
-    node: str
-    availability_zone: str
-    callers: str
-    readiness: str
-    metrics: str
-    peers: str
-    store: str
-    retries: RetryLimits
-    grace_s: float
-    seed: int
-
-
 class RefusedCall(Exception):
     """Refuse a request before anything was sent."""
 
@@ -243,6 +221,9 @@
             kind = Kind.leaving if self.refuses else Kind.not_ready
             raise RefusedCall(not_run(kind, START_RETRY_AFTER_S))
         host = environ.get('HTTP_HOST', '').partition(':')[0]
+        sent = sum(len(name) + len(text) for name, text in handler.headers.items())
+        if sent > table.limits.header_bytes:
+            raise RefusedCall(not_run(Kind.headers_too_large))
         route = table.match(host, handler.path)
         if route is None:
             raise RefusedCall(not_run(Kind.unknown_route))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -17,7 +17,8 @@
 from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.dialect import Dialect
-from comfreyarch_daemon.directentry import DirectEntry, DirectSettings
+from comfreyarch_daemon.directentry import DirectEntry
+from comfreyarch_daemon.directsettings import DirectSettings
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthnews import (
     HEALTH,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -510,10 +510,11 @@
             if answer.complete:
                 break
             self.await_more(send)
-        if cutter.rest:
+        if cutter.rest and not answer.framed:
             raise Broken('the stream ended within an event')
         if not self.begun:
             yield Begin(answer.status, head.passed_on, None)
+        yield cutter.rest
         self.finish(send)
 
     def await_more(self, send: Send) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -47,16 +47,27 @@
 SILENT_S = 0.4
 
 
+@dataclass(frozen=True, slots=True)
+class LeaderRow:
+    """Say who leads a group; the fence is 0 where nobody does.
+
+    :param address: where its sidecar takes datagrams.
+    """
+
+    fence: int
+    address: str
+
+
 class Leadership(Protocol):
     """Keep who leads a group; a platform's adapter fills it."""
 
-    def read(self, group: str) -> int:
-        """Read the leader's fence, 0 for none.
+    def read(self, group: str) -> LeaderRow:
+        """Read who leads a group.
 
         :raises StoreAway: where the store does not answer.
         """
 
-    def claim(self, group: str, node: str, former: int) -> int | None:
+    def claim(self, group: str, address: str, former: int) -> int | None:
         """Become the leader after the one with a fence.
 
         :returns: the new fence, None where another was faster.
@@ -426,7 +437,7 @@
         :returns: False where it does not, or the store is away.
         """
         try:
-            return self.leadership.read(self.group) == self.fence
+            return self.leadership.read(self.group).fence == self.fence
         except StoreAway as error:
             self.log.write('leadership_unknown', why=str(error))
             return False
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -23,7 +23,7 @@
     HealthNews,
     write_health,
 )
-from comfreyarch_daemon.mapleader import Leadership, MapLeader, MapRules
+from comfreyarch_daemon.mapleader import LeaderRow, Leadership, MapLeader, MapRules
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import Peers
 from comfreyarch_daemon.rankagent import RankAgent
@@ -63,7 +63,7 @@
 CANDIDATES = 2
 # How often the peers are listed until all ranks were heard.
 PEERS_S = 3.0
-PEERS_TRIES = 3
+PEERS_TRIES = 2
 FIRST_LOOK_S = 0.5
 # A state that did not change is told so often.
 TELL_S = 0.3
@@ -111,6 +111,7 @@
         'datagrams',
         'entries',
         'fence',
+        'greeted',
         'health',
         'health_at',
         'heard',
@@ -165,6 +166,7 @@
         self.leader: MapLeader | None = None
         self.rules: MapRules | None = None
         self.fence = 0
+        self.greeted: set[int] = set()
         self.lead_address = ''
         self.lead_heard_at = boot_time()
         self.born_at = boot_time()
@@ -207,28 +209,46 @@
         self.log.write('reload', changed=settings != self.settings)
 
     def find_peers(self) -> None:
-        """Make this sidecar known to its group and learn of the others."""
-        tries = 0
-        while tries < PEERS_TRIES:
-            gevent.sleep(PEERS_S if tries else FIRST_LOOK_S)
-            own = self.agent.state
-            if own is None:
-                continue
-            tries += 1
+        """Make this sidecar known to its group, then learn of the others.
+
+        All start together, so the others are looked up a little later.
+        """
+        own = self.await_engine()
+        self.ask_peers(lambda: self.peers.join(peer_name(own), self.settings.peers))
+        for _ in range(PEERS_TRIES):
+            gevent.sleep(PEERS_S)
+            if len(self.addresses) == own.size:
+                break
+            self.ask_peers(lambda: self.learn(own, self.peers.members()))
+        self.log.write('peers_listed', peers=len(self.addresses))
+
+    def await_engine(self) -> EngineState:
+        """Wait until the engine tells its group.
+
+        :returns: its state.
+        """
+        while self.agent.state is None:
+            gevent.sleep(FIRST_LOOK_S)
+        return self.agent.state
+
+    def ask_peers(self, call: Callable[[], None]) -> None:
+        """Call the table of the sidecars until it answers."""
+        while True:
             try:
-                self.peers.join(peer_name(own), self.settings.peers)
-                members = self.peers.members()
+                call()
             except StoreAway as error:
                 self.log.write('peers_unknown', why=str(error))
-                continue
-            for rank in range(own.size):
-                address = members.get(f'{own.group}/{rank}')
-                if address is not None:
-                    self.addresses.setdefault(rank, address)
-            self.log.write('peers_listed', peers=len(self.addresses))
-            if len(self.addresses) == own.size:
+                gevent.sleep(PEERS_S)
+            else:
                 return
 
+    def learn(self, own: EngineState, members: dict[str, str]) -> None:
+        """Take the addresses of the group's sidecars."""
+        for rank in range(own.size):
+            address = members.get(f'{own.group}/{rank}')
+            if address is not None:
+                self.addresses.setdefault(rank, address)
+
     def told_state(self, state: EngineState, *, urgent: bool) -> None:
         """Pass the own engine's state on.
 
@@ -400,6 +420,22 @@
         self.leader = None
         self.not_before = boot_time() + LATE_ORDER_S
 
+    def may_live(self, former: LeaderRow, own: EngineState) -> bool:
+        """Tell whether a leader that was never heard may be alive.
+
+        It does not know this rank's address yet: it is told, once.
+
+        :returns: True where its word should be awaited.
+        """
+        known = former.fence <= self.fence or former.fence in self.greeted
+        if known or not former.address:
+            return False
+        self.greeted.add(former.fence)
+        number = int(boot_time() * READINGS_A_SECOND)
+        news = StateNews(self.settings.engine, own, number)
+        self.datagrams.send(write_state(news), former.address)
+        return True
+
     def claim(self, own: EngineState) -> None:
         """Try to become the leader."""
         self.lead_heard_at = boot_time()
@@ -407,17 +443,19 @@
             if self.rules is None:
                 self.rules = self.adapter.map_rules(self.settings)
             former = self.leadership.read(own.group)
+            if self.may_live(former, own):
+                return
             fence = self.leadership.claim(
                 own.group,
-                self.settings.node,
-                former,
+                self.settings.peers,
+                former.fence,
             )
         except StoreAway as error:
             self.log.write('claim_failed', why=str(error))
             return
         if fence is None or self.rules is None:
             return
-        self.log.write('lead', group=own.group, fence=fence, former=former)
+        self.log.write('lead', group=own.group, fence=fence, former=former.fence)
         self.fence = fence
         self.agent.fence = fence
         self.lead_address = self.settings.peers
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -15,6 +15,8 @@
 
 # Calls are priced, so waiting is long; probes find dead connections sooner.
 WAIT_S = 20.0
+# Changes that come within this time share a call; bounds are seconds.
+COALESCE_S = 0.25
 # A store that was away is asked for a quick answer, which dates its return.
 PROBE_WAIT_S = 0.001
 # Pauses between calls to a store that does not answer.
@@ -141,6 +143,7 @@
         change = self.belief.changed(state)
         if change.rows or change.removed:
             self.listener.changed(change)
+            gevent.sleep(COALESCE_S)
 
     def read(self) -> None:
         """Read the whole table.
