A gate before a service that rejects everything; come back late when it is down

Cause: after power losses groups form for 3 s; entries spent their retry budget on rejections and refused with 0.2 s, so callers were refused again.

--- a/packages/comfreyarch-core/src/comfreyarch_core/placing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/placing.py
@@ -12,6 +12,7 @@
 
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
+from comfreyarch_core.servicegate import ServiceGate, make_service_gate
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
 # Requests that an upstream reports and no entry tells of lose half of their
@@ -108,6 +109,7 @@
     fleet: FleetLoad = field(default_factory=make_fleet_load)
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
+    gates: dict[str, ServiceGate] = field(default_factory=dict)
 
     def know(self, entries: Iterable[UpstreamEntry]) -> None:
         """Take the present upstreams; what is believed of known ones stays."""
@@ -122,6 +124,34 @@
         self.views = views
         self.services = services
 
+    def gate(self, service: str) -> ServiceGate:
+        """Give the gate of a service.
+
+        :returns: one that is open at first.
+        """
+        gate = self.gates.get(service)
+        if gate is None:
+            gate = make_service_gate()
+            self.gates[service] = gate
+        return gate
+
+    def accepted(self, name: str) -> None:
+        """Note that an upstream began to answer a request."""
+        view = self.views.get(name)
+        if view is not None:
+            view.refusals = 0
+            self.gate(view.entry.service).accepted()
+
+    def is_down(self, service: str, now: float) -> bool:
+        """Tell whether no upstream of a service takes work, busy or not.
+
+        :returns: False where requests wait for free slots only.
+        """
+        views = self.services.get(service, ())
+        return self.gate(service).closed or not any(
+            view.healthy(now) and view.paused_until <= now for view in views
+        )
+
     def total(self, view: UpstreamView, now: float) -> float:
         """Count all requests at an upstream, as far as is known.
 
@@ -150,6 +180,8 @@
         :param avoid: names that this request was sent to before.
         :returns: None where none has a free slot.
         """
+        if not self.gate(service).may_send(now):
+            return None
         ready = [
             view
             for view in self.services.get(service, ())
@@ -190,6 +222,7 @@
             return
         pause = min(FULL_PAUSE_S * 2**view.refusals, LONGEST_FULL_PAUSE_S)
         view.refusals += 1
+        self.gate(view.entry.service).rejected(now)
         view.paused_until = max(view.paused_until, now + pause)
 
     def replaced(self, name: str, now: float) -> None:
@@ -216,6 +249,7 @@
                 known is None or not known.usable or known.epoch != health.epoch
             )
             if reopened:
+                self.gate(view.entry.service).accepted()
                 view.paused_until = 0
                 view.refusals = 0
             view.health = health
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -110,6 +110,7 @@
         if view is None:
             return None
         view.in_flight += 1
+        self.placer.gate(waiter.service).sent(now)
         self.changed()
         return view
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -397,6 +397,7 @@
         if head.load is not None:
             self.forwarder.placer.reported(send.name, head.load, now)
         self.check_head(answer, head)
+        self.forwarder.placer.accepted(send.name)
         return head
 
     def await_head(self, send: Send) -> Answer:
@@ -591,6 +592,8 @@
         :returns: the exception to raise.
         """
         longest = RETRY_AFTER_SHARE * (self.call.deadline - boot_time())
+        if self.forwarder.placer.is_down(self.call.service, boot_time()):
+            retry_after_s = longest
         come_back = max(SHORTEST_RETRY_AFTER_S, min(retry_after_s, longest))
         return GaveUp(self.state.refusal(kind, come_back))
 
