--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -13,7 +13,6 @@
 over.
 """
 
-import enum
 from dataclasses import dataclass, field
 
 from comfreyarch_core.enginestate import (
@@ -26,6 +25,18 @@
     PrepareMap,
     ReleaseStep,
 )
+from comfreyarch_core.mapturns import (
+    DEPOSED,
+    NOT_HELD,
+    ChangeMap,
+    Message,
+    Outcome,
+    Phase,
+    Recover,
+    Reported,
+    Send,
+    Settled,
+)
 
 # Maps that one leader may prepare; its fence stands above this factor.
 MAPS_A_FENCE = 100_000
@@ -39,86 +50,6 @@
 PREPARE_REPEAT_S = 0.15
 
 
-# Why a change ended whose step could not be held.
-NOT_HELD = 'not held'
-# Why all ended: another leader with a higher fence is at work.
-DEPOSED = 'deposed'
-
-
-class Phase(enum.StrEnum):
-    """Say what the leader waits for."""
-
-    idle = 'idle'
-    preparing = 'preparing'
-    holding = 'holding'
-    arming = 'arming'
-    aborting = 'aborting'
-    releasing = 'releasing'
-
-
-@dataclass(frozen=True, slots=True)
-class Reported:
-    """Tell a rank's state.
-
-    :param number: grows with each reading of one rank.
-    """
-
-    state: EngineState
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeMap:
-    """Ask for a new map."""
-
-    content: GroupMap
-
-
-@dataclass(frozen=True, slots=True)
-class Recover:
-    """Ask to settle what a former leader may have left behind.
-
-    :param content: the map in use.
-    """
-
-    content: GroupMap
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Let time pass."""
-
-
-Message = Reported | ChangeMap | Recover | Tick
-
-
-@dataclass(frozen=True, slots=True)
-class Send:
-    """Send an order to a rank, valid for one state of its engine.
-
-    :param sequence: the engine refuses the order where its own differs.
-    """
-
-    rank: int
-    order: EngineOrder
-    epoch: int
-    sequence: int
-
-
-@dataclass(frozen=True, slots=True)
-class Settled:
-    """Tell that a change is over.
-
-    :param version: the map in use, if it changed.
-    """
-
-    version: int | None
-    why: str
-
-
-Outcome = Send | Settled
-
-
 @dataclass(slots=True)
 class MapControl:
     """Lead one group under one fence.
@@ -184,14 +115,13 @@
         if len(states) != self.size:
             return False
         first = states[0]
-        return all(
+        alike = all(
             state.is_open
             and state.epoch == first.epoch
             and state.version == first.version
-            and state.armed is None
-            and state.held is None
             for state in states
         )
+        return alike and self.at_rest()
 
     def change(self, content: GroupMap, now: float) -> list[Outcome]:
         """Begin a change, unless one is under way."""
@@ -238,7 +168,7 @@
         self.states[state.rank] = state
         if known is not None and state != known:
             self.sent_at.pop(state.rank, None)
-        if self.is_foreign(state):
+        if highest_version(state) >= (self.fence + 1) * MAPS_A_FENCE:
             self.deposed = True
             self.phase = Phase.idle
             return [Settled(None, DEPOSED)]
@@ -247,15 +177,6 @@
             return [Settled(None, 'new epoch')]
         return self.advance(now)
 
-    def is_foreign(self, state: EngineState) -> bool:
-        """Tell whether a rank shows the work of a later leader.
-
-        :returns: True where this leader must not touch the group any more.
-        """
-        armed = 0 if state.armed is None else state.armed.version
-        highest = max(armed, state.prepared or 0, state.version)
-        return highest >= (self.fence + 1) * MAPS_A_FENCE
-
     def advance(self, now: float) -> list[Outcome]:
         """Send what is due, and go on where a phase is complete."""
         match self.phase:
@@ -479,6 +400,15 @@
         self.released = max(self.released, step + 1)
 
 
+def highest_version(state: EngineState) -> int:
+    """Give the highest version that a rank shows.
+
+    :returns: the highest of those in use, prepared and armed.
+    """
+    armed = 0 if state.armed is None else state.armed.version
+    return max(armed, state.prepared or 0, state.version)
+
+
 def make_map_control(fence: int, own: int, size: int) -> MapControl:
     """Make the leader of a group.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/mappressure.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mappressure.py
@@ -16,6 +16,8 @@
 # Weight of the newest pass time, and the shortest time it is taken over.
 PASS_WEIGHT = 0.4
 PASS_SPAN_S = 0.4
+# A group without a pass for so long is idle; its passes are timed anew.
+IDLE_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,8 +56,8 @@
 
     def time_pass(self, step: int, now: float) -> None:
         """Time the passes since the last look."""
-        if self.step < 0 or step < self.step or step == self.step:
-            if step != self.step or now - self.since > 1:
+        if step <= self.step or self.step < 0:
+            if step != self.step or now - self.since > IDLE_S:
                 self.step = step
                 self.since = now
             return
@@ -73,7 +75,8 @@
         :param size: ranks of the group.
         :returns: True near the pace allowed, or with few slots free.
         """
-        slow = self.pass_s > PASS_PART * self.figures.gap_s > 0
+        allowed_s = PASS_PART * self.figures.gap_s
+        slow = allowed_s > 0 and self.pass_s > allowed_s
         taken = sum(self.requests.values())
         return slow or taken > BUSY_PART * size * self.figures.slots
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/placing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/placing.py
@@ -6,6 +6,7 @@
 waits where all slots are taken. Upstreams that lately failed are left out.
 """
 
+import math
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
@@ -93,7 +94,7 @@
         :returns: a number of requests.
         """
         age = max(0.0, now - self.reported_at)
-        return self.strays * 0.5 ** (age / STRAY_HALF_LIFE_S)
+        return self.strays * math.exp2(-age / STRAY_HALF_LIFE_S)
 
 
 @dataclass(slots=True)
@@ -204,7 +205,7 @@
         health = view.known_health(now)
         if health is not None:
             load += SLOW_LOAD * (health.pace - 1)
-        return load - (NEAR_BONUS if near else 0)
+        return load - NEAR_BONUS if near else load
 
     def reported(self, name: str, report: LoadReport, now: float) -> None:
         """Take a load report that came with an answer."""
@@ -220,7 +221,9 @@
         view = self.views.get(name)
         if view is None:
             return
-        pause = min(FULL_PAUSE_S * 2**view.refusals, LONGEST_FULL_PAUSE_S)
+        pause = min(
+            math.ldexp(FULL_PAUSE_S, view.refusals), LONGEST_FULL_PAUSE_S
+        )
         view.refusals += 1
         self.gate(view.entry.service).rejected(now)
         view.paused_until = max(view.paused_until, now + pause)
@@ -281,7 +284,7 @@
         view = self.views.get(name)
         if view is None:
             return 0
-        pause = min(FIRST_PAUSE_S * 2**view.failures, LONGEST_PAUSE_S)
+        pause = min(math.ldexp(FIRST_PAUSE_S, view.failures), LONGEST_PAUSE_S)
         view.failures += 1
         view.failed_share += OUTCOME_WEIGHT * (1 - view.failed_share)
         view.paused_until = now + pause
--- a/packages/comfreyarch-core/src/comfreyarch_core/tablebelief.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tablebelief.py
@@ -8,7 +8,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-
 # Removed keys that are remembered.
 MOST_GONE = 1000
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
@@ -39,7 +39,7 @@
         return taken
 
 
-class AnswerParser(HTTPResponseParser):  # type: ignore[misc]
+class AnswerParser(HTTPResponseParser):
     """Split the bytes of a connection into answers.
 
     :param answers: those begun and not yet taken, oldest first.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callersite.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callersite.py
@@ -9,6 +9,7 @@
 
 from comfreyarch_core.routetable import CallerLimits
 
+NO_TEXT = frozenset('\r\n\0')
 HANDLER_KEY = 'comfreyarch.handler'
 READABLE = 1
 # A caller that takes no bytes for this long is given up.
@@ -64,7 +65,7 @@
             raise ValueError('malformed headers')
         return message
 
-    def get_environ(self) -> dict[str, Any]:
+    def get_environ(self) -> dict[str, Any]:  # noqa: WPS615
         """Give the application the handler itself.
 
         :returns: the WSGI environment.
@@ -87,18 +88,21 @@
 
     :raises ValueError: naming the fault.
     """
-    lengths: list[str] = []
-    encodings: list[str] = []
     for name, text in headers:
         if not name or not TOKEN.issuperset(name):
             raise ValueError('a header name is no token')
-        if '\n' in text or '\r' in text or '\0' in text:
+        if NO_TEXT.intersection(text):
             raise ValueError('a header is folded')
-        lowered = name.lower()
-        if lowered == 'content-length':
-            lengths.append(text.strip())
-        elif lowered == 'transfer-encoding':
-            encodings.append(text.strip().lower())
+    check_framing(headers)
+
+
+def check_framing(headers: list[tuple[str, str]]) -> None:
+    """Refuse a body whose end two readers may see at different places.
+
+    :raises ValueError: naming the fault.
+    """
+    lengths = values_of(headers, 'content-length')
+    encodings = values_of(headers, 'transfer-encoding')
     if len(lengths) + len(encodings) > 1:
         raise ValueError('the length of the body is told twice')
     if encodings and encodings != ['chunked']:
@@ -107,6 +111,17 @@
         raise ValueError('the content length is no number')
 
 
+def values_of(headers: list[tuple[str, str]], wanted: str) -> list[str]:
+    """Collect the values of one header.
+
+    :param wanted: its name in lower case.
+    :returns: the values in lower case.
+    """
+    return [
+        text.strip().lower() for name, text in headers if name.lower() == wanted
+    ]
+
+
 class CallerWatch:
     """Raise ``CallerGone`` in a greenlet once the caller's end is closed."""
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -14,6 +14,8 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.settings import split_address
 
+# What reading a message of another release, or garbage, may raise.
+UNREADABLE = (ValueError, KeyError, TypeError, IndexError, AttributeError)
 LONGEST_DATAGRAM = 65_000
 # Pause after the system failed to read a datagram.
 RETRY_S = 0.1
@@ -73,7 +75,7 @@
             address = f'{sender[0]}:{sender[1]}'
             try:
                 self.take(received, address)
-            except (ValueError, KeyError, TypeError, IndexError) as error:
+            except UNREADABLE as error:
                 self.log.write(
                     'datagram_unreadable',
                     address=address,
@@ -88,7 +90,7 @@
         message = cbor2.loads(received)
         if not isinstance(message, list) or not message:
             raise ValueError('no list')
-        handler = self.handlers.get(str(message[0]))
-        if handler is None:
+        taker = self.handlers.get(str(message[0]))
+        if taker is None:
             raise ValueError(f'unknown tag {message[0]!r}')
-        handler(message, address)
+        taker(message, address)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -8,13 +8,19 @@
 
 from comfreyarch_core.placing import make_placer
 from comfreyarch_core.refusals import Kind, Refusal, not_run
-from comfreyarch_core.routetable import CallerLimits, Route, RouteTable, Team
+from comfreyarch_core.routetable import CallerLimits, Route, RouteTable
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_daemon.callersite import (
     HANDLER_KEY,
     CallerHandler,
     CallerWatch,
 )
+from comfreyarch_daemon.callreading import (
+    RefusedCall,
+    find_team,
+    read_body,
+    urgency,
+)
 from comfreyarch_daemon.dialect import CallHead, Dialect, Headers
 from comfreyarch_daemon.directsettings import DirectSettings
 from comfreyarch_daemon.dispatching import Dispatcher
@@ -29,50 +35,14 @@
 )
 from comfreyarch_daemon.listening import open_listener
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.pace import Pace
+from comfreyarch_daemon.requestwork import answer
 from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Urgency of an upstream's queue for the best priority of a caller.
-URGENCIES = 10
-DEFAULT_PRIORITY = 5
 START_RETRY_AFTER_S = 0.05
 
 
-class RefusedCall(Exception):
-    """Refuse a request before anything was sent."""
-
-    def __init__(self, refusal: Refusal) -> None:
-        """Hold the refusal."""
-        super().__init__(refusal.kind.value)
-        self.refusal = refusal
-
-
-class Pace:
-    """Follow how fast an answer is passed on; times are in seconds.
-
-    :param first_s: from the request to the first bytes of the body.
-    :param longest_gap_s: longest pause after them.
-    """
-
-    __slots__ = ('began', 'first_s', 'last', 'longest_gap_s')
-
-    def __init__(self, began: float) -> None:
-        """Start at the request."""
-        self.began = began
-        self.last = 0.0
-        self.first_s: float | None = None
-        self.longest_gap_s = 0.0
-
-    def passed(self, now: float) -> None:
-        """Note that bytes were passed on."""
-        if self.first_s is None:
-            self.first_s = round(now - self.began, 3)
-        else:
-            gap = round(now - self.last, 3)
-            self.longest_gap_s = max(self.longest_gap_s, gap)
-        self.last = now
-
-
 class DirectEntry:
     """Take callers' requests and forward them.
 
@@ -129,6 +99,27 @@
             handler_class=CallerHandler,
         )
 
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one request: the WSGI application.
+
+        :returns: the body.
+        """
+        began = boot_time()
+        site: CallerHandler = environ[HANDLER_KEY]
+        headers = list(site.headers.items())
+        head = self.dialect.read_call(headers)
+        closing = [('Connection', 'close')] if self.leaving else []
+        own = [*closing, *self.dialect.attempt_headers(head)]
+        try:
+            call = self.read(environ, head, began)
+        except RefusedCall as error:
+            return self.refuse(error.refusal, head, own, start_response)
+        return self.respond(call, site, closing, start_response)
+
     def start(self) -> None:
         """Start taking callers."""
         self.dispatcher.start()
@@ -184,27 +175,6 @@
         else:
             self.idle_sockets.discard(sock)
 
-    def __call__(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        """Answer one request: the WSGI application.
-
-        :returns: the body.
-        """
-        began = boot_time()
-        handler: CallerHandler = environ[HANDLER_KEY]
-        headers = list(handler.headers.items())
-        head = self.dialect.read_call(headers)
-        closing = [('Connection', 'close')] if self.leaving else []
-        own = [*closing, *self.dialect.attempt_headers(head)]
-        try:
-            call = self.read(environ, head, began)
-        except RefusedCall as error:
-            return self.refuse(error.refusal, head, own, start_response)
-        return self.respond(call, handler, closing, start_response)
-
     def read(
         self,
         environ: dict[str, Any],
@@ -215,26 +185,26 @@
 
         :raises RefusedCall: where it is not forwarded.
         """
-        handler: CallerHandler = environ[HANDLER_KEY]
+        site: CallerHandler = environ[HANDLER_KEY]
         table = self.table
         if table is None or self.refuses:
             kind = Kind.leaving if self.refuses else Kind.not_ready
             raise RefusedCall(not_run(kind, START_RETRY_AFTER_S))
         host = environ.get('HTTP_HOST', '').partition(':')[0]
-        sent = sum(len(name) + len(text) for name, text in handler.headers.items())
+        sent = sum(len(name) + len(text) for name, text in head.forwarded)
         if sent > table.limits.header_bytes:
             raise RefusedCall(not_run(Kind.headers_too_large))
-        route = table.match(host, handler.path)
+        route = table.match(host, site.path)
         if route is None:
             raise RefusedCall(not_run(Kind.unknown_route))
-        team = self.team(table, route, head)
-        body = self.read_body(environ, table.limits)
+        team = find_team(table, route, head)
+        body = read_body(environ, table.limits)
         left_s = route.timeout_s
         if head.left_s is not None:
             left_s = min(left_s, head.left_s)
         return Call(
-            handler.command,
-            handler.path,
+            site.command,
+            site.path,
             body,
             head,
             route,
@@ -245,39 +215,6 @@
             began + left_s,
         )
 
-    def team(
-        self,
-        table: RouteTable,
-        route: Route,
-        head: CallHead,
-    ) -> Team | None:
-        """Find the team that a request belongs to.
-
-        :raises RefusedCall: for an unknown key.
-        """
-        if not table.asks_keys or route.public:
-            return None
-        team = table.team_of(head.key)
-        if team is None:
-            raise RefusedCall(not_run(Kind.unauthorized))
-        return team
-
-    def read_body(
-        self,
-        environ: dict[str, Any],
-        limits: CallerLimits,
-    ) -> bytes:
-        """Read the whole body.
-
-        :raises RefusedCall: where it is too large.
-        """
-        if int(environ.get('CONTENT_LENGTH') or 0) > limits.body_bytes:
-            raise RefusedCall(not_run(Kind.too_large))
-        body: bytes = environ['wsgi.input'].read(limits.body_bytes + 1)
-        if len(body) > limits.body_bytes:
-            raise RefusedCall(not_run(Kind.too_large))
-        return body
-
     def service(self, route: Route) -> str:
         """Draw a service by the route's weights.
 
@@ -293,15 +230,15 @@
     def respond(
         self,
         call: Call,
-        handler: CallerHandler,
+        site: CallerHandler,
         closing: Headers,
         start_response: StartResponse,
     ) -> Iterable[bytes]:
         """Forward a request and pass its answer on."""
         self.open_requests += 1
-        watch = CallerWatch(handler.socket, lambda: self.caller_left(call))
+        watch = CallerWatch(site.socket, lambda: self.caller_left(call))
         watch.start()
-        pieces = self.forwarder.answer(call)
+        pieces = answer(self.forwarder, call)
         body = self.pass_on(call, pieces, watch)
         try:
             begin = next(body)
@@ -403,14 +340,3 @@
             sent.append(('Retry-After', f'{refusal.retry_after_s:.3f}'))
         start_response(status_line(refusal.status), sent)
         return [body]
-
-
-def urgency(route: Route, team: Team | None) -> int:
-    """Give the urgency of a request for an upstream's queue.
-
-    :returns: 0 for the most urgent to 9.
-    """
-    priority = route.priority
-    if team is not None and team.priority is not None:
-        priority = team.priority
-    return max(0, min(URGENCIES - 1, priority))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -3,22 +3,14 @@
 import gc
 import signal
 import sys
-from collections.abc import Callable
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import gevent
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 
-from comfreyarch_core.routetable import RouteTable
-from comfreyarch_core.tablebelief import Change, TableRow
-from comfreyarch_core.upstreamlist import UpstreamEntry, make_upstream_list
 from comfreyarch_daemon.datagrams import Datagrams
-from comfreyarch_daemon.dialect import Dialect
 from comfreyarch_daemon.directentry import DirectEntry
-from comfreyarch_daemon.directsettings import DirectSettings
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthnews import (
     HEALTH,
@@ -26,11 +18,15 @@
     read_health,
     write_hello,
 )
-from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
-from comfreyarch_daemon.peerload import PeerLoad, Peers
+from comfreyarch_daemon.peerload import PeerLoad
 from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.statuslines import StartResponse, status_line
+from comfreyarch_daemon.smallpages import MetricsPage, ReadinessPage, serve
+from comfreyarch_daemon.tablelisteners import (
+    Adapter,
+    ConfigurationListener,
+    UpstreamsListener,
+)
 from comfreyarch_daemon.tablewatch import (
     FIRST_RETRY_S,
     LONGEST_RETRY_S,
@@ -57,116 +53,6 @@
 GRACE_MARGIN_S = 0.6
 
 
-@dataclass(frozen=True, slots=True)
-class Adapter:
-    """Hold what a platform's adapter provides."""
-
-    read_settings: Callable[[Path], DirectSettings]
-    dialect: Dialect
-    readiness_path: str
-    open_configuration: Callable[[DirectSettings], TableSource]
-    open_upstreams: Callable[[DirectSettings], TableSource]
-    open_peers: Callable[[DirectSettings], Peers]
-    open_sidecars: Callable[[DirectSettings], Peers]
-    configuration_key: str
-    decode_configuration: Callable[[bytes], RouteTable]
-    decode_upstream: Callable[[str, bytes, int], UpstreamEntry]
-
-
-class ConfigurationListener:
-    """Take configurations from the store."""
-
-    __slots__ = ('adapter', 'entry', 'log')
-
-    def __init__(self, adapter: Adapter, entry: DirectEntry) -> None:
-        """Hold where configurations go."""
-        self.adapter = adapter
-        self.entry = entry
-        self.log = entry.log
-
-    def changed(self, change: Change) -> None:
-        """Take the configuration's row."""
-        for row in change.rows:
-            if row.key != self.adapter.configuration_key:
-                continue
-            try:
-                table = self.adapter.decode_configuration(row.content)
-            except ValueError as error:
-                self.log.write('configuration_unreadable', why=str(error))
-                continue
-            self.entry.configured(table)
-
-    def store_lost(self) -> None:
-        """Go on with the configuration that is known."""
-
-    def store_back(self) -> None:
-        """Take what comes."""
-
-
-class UpstreamsListener:
-    """Take upstreams from the store."""
-
-    __slots__ = ('adapter', 'entry', 'known', 'log', 'malformed')
-
-    def __init__(self, adapter: Adapter, entry: DirectEntry) -> None:
-        """Hold where upstreams go."""
-        self.adapter = adapter
-        self.entry = entry
-        self.log = entry.log
-        self.known = make_upstream_list()
-        self.malformed: set[str] = set()
-
-    def changed(self, change: Change) -> None:
-        """Take rows of upstreams."""
-        for row in change.rows:
-            self.take(row)
-        now = boot_time()
-        for key in change.removed:
-            self.known.drop(key, now)
-            self.log.write(
-                'upstream_removed',
-                upstream=key,
-                kept=key in self.known.entries,
-            )
-        self.entry.listed(self.known.entries.values())
-
-    def take(self, row: TableRow) -> None:
-        """Take one row; a malformed one is logged once."""
-        key = row.key
-        try:
-            entry = self.adapter.decode_upstream(key, row.content, row.version)
-        except ValueError as error:
-            if key not in self.malformed:
-                self.malformed.add(key)
-                self.log.write('upstream_unreadable', why=str(error))
-            return
-        known = self.known.entries.get(key)
-        self.known.change(entry)
-        if known is None or known.leaving != entry.leaving:
-            self.log.write(
-                'upstream_listed',
-                upstream=key,
-                service=entry.service,
-                address=entry.address,
-                leaving=entry.leaving,
-            )
-
-    def store_lost(self) -> None:
-        """Keep entries that lapse until the store is back."""
-        self.known.store_lost()
-
-    def store_back(self) -> None:
-        """Begin the time in which lapsed entries come back."""
-        self.known.store_back(boot_time())
-
-    def tick(self) -> None:
-        """Drop what is still missing."""
-        gone = self.known.expire(boot_time())
-        if gone:
-            self.log.write('upstreams_lapsed', upstreams=gone)
-            self.entry.listed(self.known.entries.values())
-
-
 class DirectNode:
     """Own a direct entry and all that runs around it."""
 
@@ -219,8 +105,11 @@
             ),
         ]
         self.www = [
-            self.serve(settings.readiness, self.answer_readiness),
-            self.serve(settings.metrics, self.answer_metrics),
+            serve(
+                settings.readiness,
+                ReadinessPage(adapter.readiness_path, self.entry),
+            ),
+            serve(settings.metrics, MetricsPage(self.metrics)),
         ]
         dispatcher = self.entry.dispatcher
         self.peers = adapter.open_peers(settings)
@@ -248,19 +137,6 @@
         """
         return TableWatch(name, table, listener, self.log, self.metrics)
 
-    def serve(self, address: str, application: Any) -> WSGIServer:
-        """Make a server of small pages.
-
-        :returns: the server, not yet started.
-        """
-        return WSGIServer(
-            open_listener(address),
-            application,
-            log=None,
-            error_log=None,
-            handler_class=QuietHandler,
-        )
-
     def start(self) -> None:
         """Start all parts."""
         self.log.write('start', settings=str(self.path))
@@ -378,42 +254,6 @@
             gevent.sleep(END_CHECK_S)
         self.close()
 
-    def answer_readiness(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-    ) -> list[bytes]:
-        """Tell the balancer in front whether to send callers here.
-
-        :returns: an empty body.
-        """
-        ready = self.entry.ready()
-        if environ['PATH_INFO'] != self.adapter.readiness_path:
-            start_response(status_line(404), [('Content-Length', '0')])
-            return []
-        status = status_line(200 if ready else 503)
-        start_response(status, [('Content-Length', '0')])
-        return []
-
-    def answer_metrics(
-        self,
-        environ: dict[str, Any],
-        start_response: StartResponse,
-    ) -> list[bytes]:
-        """Give counters and histograms as text.
-
-        :returns: the page.
-        """
-        page = self.metrics.text()
-        start_response(
-            status_line(200),
-            [
-                ('Content-Type', 'text/plain; version=0.0.4'),
-                ('Content-Length', str(len(page))),
-            ],
-        )
-        return [page]
-
 
 def run_entry(adapter: Adapter, path: Path) -> None:
     """Run a direct entry until a signal stops it.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -86,7 +86,7 @@
         line.join(waiter)
         try:
             view: UpstreamView | None = result.get(
-                timeout=max(0.001, waiter.leave_at - boot_time()),
+                timeout=max(0, waiter.leave_at - boot_time()),
             )
         except gevent.Timeout:
             view = None
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/eventlog.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/eventlog.py
@@ -47,7 +47,7 @@
         if left_out:
             line['left_out'] = left_out
         encoded = self.encoder.encode(line)[: LONGEST_LINE - 1]
-        self.emit(encoded + b'\n')
+        self.emit(b'%b\n' % encoded)
 
     def emit(self, line: bytes) -> None:
         """Write a line if that does not block."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -8,11 +8,13 @@
 
 from comfreyarch_core.enginehealth import make_health_watch
 from comfreyarch_core.enginestate import EngineState, GroupMap
-from comfreyarch_core.mapcontrol import (
+from comfreyarch_core.mapcontrol import MapControl, make_map_control
+from comfreyarch_core.mapplan import MapLimits, PlannedMap, plan_map
+from comfreyarch_core.mappressure import GroupFigures, make_pressure
+from comfreyarch_core.mapturns import (
     DEPOSED,
     NOT_HELD,
     ChangeMap,
-    MapControl,
     Outcome,
     Phase,
     Recover,
@@ -20,12 +22,10 @@
     Send,
     Settled,
     Tick,
-    make_map_control,
 )
-from comfreyarch_core.mapplan import MapLimits, PlannedMap, plan_map
-from comfreyarch_core.mappressure import GroupFigures, make_pressure
 from comfreyarch_daemon.engineapi import EngineApi, EngineAway
 from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.groupfacts import GroupFacts
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.rankmail import CountNews, OrderNews, StateNews
 from comfreyarch_daemon.tablewatch import StoreAway
@@ -33,10 +33,6 @@
 
 TICK_S = 0.02
 IDLE_TICK_S = 0.1
-# Counts that a plan is made of: the last ones of each rank.
-COUNTS_KEPT = 2
-# A map is planned only on so many choices of experts, by set.
-LEAST_CHOICES = 400
 # Time between two plans.
 PLAN_S = 0.3
 # A leader that did not run for so long may have been replaced.
@@ -93,13 +89,10 @@
 
     __slots__ = (
         'control',
-        'counts',
         'engine_at',
-        'engines',
-        'experts',
+        'facts',
         'group',
         'health',
-        'heard_at',
         'leadership',
         'limits',
         'log',
@@ -140,10 +133,7 @@
         self.engine_at = engine_at
         self.log = log
         self.metrics = metrics
-        self.counts: dict[int, list[CountNews]] = {}
-        self.experts: dict[int, CountNews] = {}
-        self.engines: dict[int, str] = {}
-        self.heard_at: dict[int, float] = {}
+        self.facts = GroupFacts(own.size, rules.limits.experts)
         self.planned: PlannedMap | None = None
         self.workers: list[gevent.Greenlet] = []
 
@@ -172,7 +162,7 @@
             if not self.was_awake():
                 return
             self.ticked_at = boot_time()
-            self.do(self.control.handle(Tick(), boot_time()))
+            self.carry_out(self.control.handle(Tick(), boot_time()))
 
     def was_awake(self) -> bool:
         """Tell whether this process ran all the time.
@@ -190,33 +180,26 @@
     def seed(self, news: StateNews) -> None:
         """Take what was heard of a rank before this term began."""
         rank = news.state.rank
-        self.engines[rank] = news.engine
+        self.facts.engines[rank] = news.engine
         reported = Reported(news.state, news.number)
-        self.do(self.control.handle(reported, boot_time()))
+        self.carry_out(self.control.handle(reported, boot_time()))
 
     def heard_state(self, news: StateNews) -> None:
         """Take a rank's state."""
         if not self.was_awake():
             return
         rank = news.state.rank
-        self.engines[rank] = news.engine
-        self.heard_at[rank] = boot_time()
+        self.facts.engines[rank] = news.engine
+        self.facts.heard_at[rank] = boot_time()
         now = boot_time()
         own = rank == self.control.own
         self.pressure.handle(news.state, own, now)
         if own:
             self.moving = self.health.handle(news.state, now).usable
         reported = Reported(news.state, news.number)
-        self.do(self.control.handle(reported, now))
+        self.carry_out(self.control.handle(reported, now))
 
-    def heard_counts(self, news: CountNews) -> None:
-        """Take a rank's counts."""
-        kept = self.counts.setdefault(news.rank, [])
-        kept.append(news)
-        del kept[:-COUNTS_KEPT]
-        self.experts[news.rank] = news
-
-    def do(self, outcomes: list[Outcome]) -> None:
+    def carry_out(self, outcomes: list[Outcome]) -> None:
         """Carry decisions out."""
         for outcome in outcomes:
             match outcome:
@@ -236,16 +219,16 @@
             send.sequence,
             send.order,
         )
-        silent_s = boot_time() - self.heard_at.get(send.rank, 0)
+        silent_s = boot_time() - self.facts.heard_at.get(send.rank, 0)
         own = send.rank == self.control.own
-        if own or silent_s < SILENT_S or send.rank not in self.engines:
+        if own or silent_s < SILENT_S or send.rank not in self.facts.engines:
             self.tell(news)
             return
         gevent.spawn(self.order_directly, news)
 
     def order_directly(self, news: OrderNews) -> None:
         """Order an engine whose sidecar is silent, and read its state."""
-        address = self.engines[news.rank]
+        address = self.facts.engines[news.rank]
         engine = self.engine_at(address)
         try:
             state = self.ask(engine, news)
@@ -257,7 +240,7 @@
         if state is not None:
             number = self.control.numbers.get(news.rank, 0)
             reported = Reported(state, number)
-            self.do(self.control.handle(reported, boot_time()))
+            self.carry_out(self.control.handle(reported, boot_time()))
 
     def ask(self, engine: EngineApi, news: OrderNews) -> EngineState | None:
         """Give an order that may get no answer, then read.
@@ -281,7 +264,7 @@
 
     def settled(self, version: int | None, why: str) -> None:
         """Log how a change ended; old counts say nothing of the new map."""
-        self.counts.clear()
+        self.facts.counts.clear()
         planned = self.planned
         self.metrics.count('map_changes', outcome=why.replace(' ', '_'))
         self.log.write(
@@ -296,24 +279,27 @@
 
     def plan(self) -> None:
         """Plan and begin changes for as long as the term lasts."""
-        while True:
+        while self.was_awake():
             gevent.sleep(PLAN_S)
-            if not self.was_awake():
-                return
-            if self.control.phase != Phase.idle:
-                continue
-            content = self.content()
-            if content is None:
-                if self.unsettled():
-                    self.ask_silent()
-                continue
-            if self.control.quiet() and self.moving:
-                self.unsettled_since = 0
-                if self.pressure.is_high(self.control.size):
-                    self.plan_once(content)
-            elif self.unsettled():
-                self.control.content = content
-                self.do(self.control.handle(Recover(content), boot_time()))
+            if self.was_awake() and self.control.phase == Phase.idle:
+                self.look()
+
+    def look(self) -> None:
+        """Begin what is due: a recovery, or a change where it pays."""
+        own = self.control.states.get(self.control.own)
+        content = self.facts.content(own)
+        if content is None:
+            if self.unsettled():
+                self.ask_silent()
+            return
+        if self.control.quiet() and self.moving:
+            self.unsettled_since = 0
+            if self.pressure.is_high(self.control.size):
+                self.plan_once(content)
+        elif self.unsettled():
+            self.control.content = content
+            recover = Recover(content)
+            self.carry_out(self.control.handle(recover, boot_time()))
 
     def unsettled(self) -> bool:
         """Tell whether a former leader left a hold or an armed rank.
@@ -338,9 +324,9 @@
         """Read the experts of ranks whose sidecars are silent."""
         own = self.control.states.get(self.control.own)
         now = boot_time()
-        for rank, address in list(self.engines.items()):
-            silent = now - self.heard_at.get(rank, 0) > SILENT_S
-            if own is None or not silent or self.knows(rank, own):
+        for rank, address in list(self.facts.engines.items()):
+            silent = now - self.facts.heard_at.get(rank, 0) > SILENT_S
+            if own is None or not silent or self.facts.knows(rank, own):
                 continue
             engine = self.engine_at(address)
             try:
@@ -350,7 +336,7 @@
                 continue
             finally:
                 engine.close()
-            self.experts[rank] = CountNews(
+            self.facts.told[rank] = CountNews(
                 self.group,
                 rank,
                 own.epoch,
@@ -359,39 +345,9 @@
                 (),
             )
 
-    def knows(self, rank: int, own: EngineState) -> bool:
-        """Tell whether a rank's experts of the map in use are known.
-
-        :returns: False where they are not, or of another map.
-        """
-        news = self.experts.get(rank)
-        return (
-            news is not None
-            and news.version == own.version
-            and news.epoch == own.epoch
-        )
-
-    def content(self) -> GroupMap | None:
-        """Put the map in use together from what the ranks told.
-
-        :returns: None until all told of the same map.
-        """
-        control = self.control
-        own = control.states.get(control.own)
-        if own is None:
-            return None
-        ranks = range(control.size)
-        if not all(self.knows(rank, own) for rank in ranks):
-            return None
-        told = [self.experts[rank] for rank in ranks]
-        sets = range(len(told[0].experts))
-        return tuple(
-            tuple(news.experts[number] for news in told) for number in sets
-        )
-
     def plan_once(self, content: GroupMap) -> None:
         """Plan one change and begin it where it pays."""
-        loads = self.loads(len(content))
+        loads = self.facts.loads(len(content))
         if loads is None:
             return
         planned = plan_map(content, loads, self.limits)
@@ -407,29 +363,9 @@
             skew_planned=round(planned.after, 2),
             pass_s=round(self.pressure.pass_s, 3),
         )
-        self.do(self.control.handle(ChangeMap(planned.content), boot_time()))
-
-    def loads(self, sets: int) -> list[list[int]] | None:
-        """Add up the last counts of all ranks.
-
-        :returns: choices by set and expert, None while too few are known.
-        """
-        if len(self.counts) < self.control.size:
-            return None
-        experts = self.limits.experts
-        total = [0] * (sets * experts)
-        for kept in self.counts.values():
-            if len(kept) < COUNTS_KEPT:
-                return None
-            for news in kept:
-                for number, count in enumerate(news.counts):
-                    total[number] += count
-        if sum(total) < LEAST_CHOICES * sets:
-            return None
-        return [
-            total[first : first + experts]
-            for first in range(0, len(total), experts)
-        ]
+        self.carry_out(
+            self.control.handle(ChangeMap(planned.content), boot_time())
+        )
 
     def leads_still(self) -> bool:
         """Ask the store whether this term still lasts.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
@@ -14,6 +14,7 @@
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 NEWS = 'load'
+INCARNATION_BITS = 32
 # News is told at once, but not more often than this.
 SHORTEST_GAP_S = 0.02
 # Datagrams that an entry sends a second, at most: the gap grows with peers.
@@ -83,7 +84,7 @@
         self.peers: dict[str, str] = {}
         self.heard_at: dict[str, float] = {}
         self.told_lost_at = 0.0
-        self.incarnation = random.SystemRandom().getrandbits(32)
+        self.incarnation = random.SystemRandom().getrandbits(INCARNATION_BITS)
         self.number = 0
         self.changed = Event()
         self.worker: gevent.Greenlet | None = None
@@ -184,7 +185,8 @@
     :returns: the news.
     :raises ValueError: where it is malformed.
     """
-    _, node, incarnation, number, counts, waiting = message
+    node, incarnation, number = message[1:4]
+    counts, waiting = message[4:6]
     if not isinstance(node, str) or not isinstance(number, int):
         raise ValueError('the news names no node')
     if not isinstance(incarnation, int):
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankmail.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankmail.py
@@ -139,7 +139,8 @@
 
     :returns: the news.
     """
-    _, group, rank, epoch, version, experts, packed = message
+    group, rank, epoch, version = message[1:5]
+    experts, packed = message[5:7]
     counts = array(COUNT_TYPE)
     counts.frombytes(zlib.decompress(packed))
     return CountNews(
@@ -185,7 +186,8 @@
     :returns: the news.
     :raises ValueError: for an unknown order.
     """
-    _, group, fence, rank, epoch, sequence, fields = message
+    group, fence, rank = message[1:4]
+    epoch, sequence, fields = message[4:7]
     return OrderNews(
         group,
         fence,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -4,28 +4,25 @@
 import signal
 import sys
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import gevent
 from gevent.event import Event
 
-from comfreyarch_core.enginehealth import EngineHealth, make_health_watch
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_daemon.datagrams import Datagrams
-from comfreyarch_daemon.engineapi import EngineApi
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.healthnews import (
-    FORGET_S,
-    HELLO,
-    REPEAT_S,
-    HealthNews,
-    write_health,
+from comfreyarch_daemon.healthnews import HELLO
+from comfreyarch_daemon.healthteller import HealthTeller
+from comfreyarch_daemon.mapleader import (
+    LeaderRow,
+    MapLeader,
+    MapRules,
 )
-from comfreyarch_daemon.mapleader import LeaderRow, Leadership, MapLeader, MapRules
 from comfreyarch_daemon.metrics import Metrics
-from comfreyarch_daemon.peerload import Peers
 from comfreyarch_daemon.rankagent import RankAgent
 from comfreyarch_daemon.rankmail import (
     COUNTS,
@@ -45,6 +42,7 @@
     write_order,
     write_state,
 )
+from comfreyarch_daemon.ranksettings import RankAdapter
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.tablewatch import StoreAway
 from comfreyarch_daemon.upstreamcalls import boot_time
@@ -71,36 +69,32 @@
 READINGS_A_SECOND = 10_000
 
 
-@dataclass(frozen=True, slots=True)
-class RankSettings:
-    """Hold the settings of a rank's sidecar.
+@dataclass(slots=True)
+class LeaderView:
+    """Hold what a sidecar knows of its group's leader.
 
-    :param engine: address of the engine beside it.
+    :param heard_at: when a leader was last heard.
+    :param fence: the highest fence heard of.
+    :param address: where the leader takes datagrams.
+    :param greeted: fences of leaders that were told of this rank.
+    :param not_before: this rank does not lead before.
+    :param told: the state told last, without its step and requests.
+    :param told_at: when it was told.
     """
 
-    node: str
-    peers: str
-    engine: str
-    service: str
-    store: str
-
-
-@dataclass(frozen=True, slots=True)
-class RankAdapter:
-    """Hold what a platform's adapter provides to a rank's sidecar."""
-
-    read_settings: Callable[[Path], RankSettings]
-    open_engine: Callable[[str], EngineApi]
-    open_leadership: Callable[[RankSettings], Leadership]
-    open_peers: Callable[[RankSettings], Peers]
-    map_rules: Callable[[RankSettings], MapRules | None]
+    heard_at: float
+    fence: int = 0
+    address: str = ''
+    greeted: set[int] = field(default_factory=set)
+    not_before: float = 0
+    told: EngineState | None = None
+    told_at: float = 0
 
 
 class RankNode:
     """Own a rank's sidecar.
 
     :param addresses: datagram addresses of the group's sidecars, by rank.
-    :param fence: the highest fence heard of.
     """
 
     __slots__ = (
@@ -109,27 +103,18 @@
         'agent',
         'born_at',
         'datagrams',
-        'entries',
-        'fence',
-        'greeted',
         'health',
-        'health_at',
         'heard',
-        'health_told',
-        'lead_address',
-        'lead_heard_at',
+        'lead',
         'leader',
         'leadership',
         'log',
         'metrics',
-        'not_before',
         'path',
         'peers',
         'rules',
         'settings',
         'stopped',
-        'told',
-        'told_at',
         'workers',
     )
 
@@ -142,12 +127,9 @@
         self.log = EventLog(settings.node)
         self.metrics = Metrics()
         self.datagrams = Datagrams(settings.peers, self.log)
-        self.health = make_health_watch()
-        self.health_told: EngineHealth | None = None
-        self.health_at = 0.0
-        self.entries: dict[str, float] = {}
+        self.health = HealthTeller(settings.engine, self.datagrams, self.log)
         self.datagrams.handlers = {
-            HELLO: self.heard_hello,
+            HELLO: self.health.heard_hello,
             STATE: self.heard_state,
             COUNTS: self.heard_counts,
             ORDER: self.heard_order,
@@ -165,16 +147,10 @@
         self.peers = adapter.open_peers(settings)
         self.leader: MapLeader | None = None
         self.rules: MapRules | None = None
-        self.fence = 0
-        self.greeted: set[int] = set()
-        self.lead_address = ''
-        self.lead_heard_at = boot_time()
+        self.lead = LeaderView(heard_at=boot_time())
         self.born_at = boot_time()
-        self.not_before = 0.0
         self.addresses: dict[int, str] = {}
-        self.told: EngineState | None = None
         self.heard: dict[int, StateNews] = {}
-        self.told_at = 0.0
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
 
@@ -214,12 +190,14 @@
         All start together, so the others are looked up a little later.
         """
         own = self.await_engine()
-        self.ask_peers(lambda: self.peers.join(peer_name(own), self.settings.peers))
+        self.ask_peers(
+            lambda: self.peers.join(peer_name(own), self.settings.peers)
+        )
         for _ in range(PEERS_TRIES):
             gevent.sleep(PEERS_S)
             if len(self.addresses) == own.size:
                 break
-            self.ask_peers(lambda: self.learn(own, self.peers.members()))
+            self.ask_peers(partial(self.learn, own))
         self.log.write('peers_listed', peers=len(self.addresses))
 
     def await_engine(self) -> EngineState:
@@ -242,8 +220,12 @@
             else:
                 return
 
-    def learn(self, own: EngineState, members: dict[str, str]) -> None:
-        """Take the addresses of the group's sidecars."""
+    def learn(self, own: EngineState) -> None:
+        """Look the addresses of the group's sidecars up.
+
+        :raises StoreAway: where the table cannot be read.
+        """
+        members = self.peers.members()
         for rank in range(own.size):
             address = members.get(f'{own.group}/{rank}')
             if address is not None:
@@ -260,43 +242,17 @@
         if self.leader is not None:
             self.leader.heard_state(news)
         now = boot_time()
-        self.tell_health(state, now)
+        self.health.take(state, now)
         plain = replace(state, step=0, running=0, waiting=0)
-        recent = now - self.told_at < TELL_S
-        if plain == self.told and recent and not urgent:
+        recent = now - self.lead.told_at < TELL_S
+        if plain == self.lead.told and recent and not urgent:
             return
-        self.told = plain
-        self.told_at = now
+        self.lead.told = plain
+        self.lead.told_at = now
         message = write_state(news)
         for address in self.audience():
             self.datagrams.send(message, address)
 
-    def tell_health(self, state: EngineState, now: float) -> None:
-        """Tell the entries how the engine is, when that changes."""
-        health = self.health.handle(state, now)
-        if health == self.health_told and now - self.health_at < REPEAT_S:
-            return
-        if health != self.health_told:
-            self.log.write(
-                'engine_health', usable=health.usable, pace=health.pace
-            )
-        self.health_told = health
-        self.health_at = now
-        message = write_health(HealthNews(self.settings.engine, health))
-        for address, heard_at in list(self.entries.items()):
-            if now - heard_at > FORGET_S:
-                self.entries.pop(address)
-            else:
-                self.datagrams.send(message, address)
-
-    def heard_hello(self, _message: list[Any], address: str) -> None:
-        """Take an entry's wish to be told."""
-        fresh = address not in self.entries
-        self.entries[address] = boot_time()
-        if fresh and self.health_told is not None:
-            news = HealthNews(self.settings.engine, self.health_told)
-            self.datagrams.send(write_health(news), address)
-
     def audience(self) -> set[str]:
         """List who needs the own state.
 
@@ -304,16 +260,16 @@
         """
         heard = sorted(self.addresses)[:CANDIDATES]
         chosen = {self.addresses[rank] for rank in heard}
-        if self.lead_address:
-            chosen.add(self.lead_address)
+        if self.lead.address:
+            chosen.add(self.lead.address)
         return chosen - {self.settings.peers}
 
     def told_counts(self, news: CountNews) -> None:
         """Pass the own counts on to the leader."""
         if self.leader is not None:
-            self.leader.heard_counts(news)
-        elif self.lead_address:
-            self.datagrams.send(write_counts(news), self.lead_address)
+            self.leader.facts.heard_counts(news)
+        elif self.lead.address:
+            self.datagrams.send(write_counts(news), self.lead.address)
 
     def heard_state(self, message: list[Any], address: str) -> None:
         """Take another rank's state."""
@@ -331,7 +287,7 @@
         news = read_counts(message)
         leader = self.leader
         if leader is not None and leader.group == news.group:
-            leader.heard_counts(news)
+            leader.facts.heard_counts(news)
 
     def heard_order(self, message: list[Any], address: str) -> None:
         """Take a leader's order."""
@@ -351,14 +307,14 @@
 
     def follow_leader(self, fence: int, address: str) -> None:
         """Follow the leader with the highest fence."""
-        if fence < self.fence:
+        if fence < self.lead.fence:
             return
-        if fence > self.fence:
+        if fence > self.lead.fence:
             self.log.write('leader', fence=fence, address=address)
-        self.fence = fence
+        self.lead.fence = fence
         self.agent.fence = max(self.agent.fence, fence)
-        self.lead_address = address
-        self.lead_heard_at = boot_time()
+        self.lead.address = address
+        self.lead.heard_at = boot_time()
         if self.leader is not None and fence > self.leader.fence:
             self.leader.close()
             self.leader = None
@@ -399,11 +355,11 @@
         :returns: False while a leader is heard, or a lower rank may follow.
         """
         now = boot_time()
-        if now < self.not_before or (
+        if now < self.lead.not_before or (
             self.is_young(now) and own.held is not None
         ):
             return False
-        silent_s = now - self.lead_heard_at
+        silent_s = now - self.lead.heard_at
         return silent_s > LEAD_SILENT_S + LEAD_STEP_S * own.rank
 
     def is_young(self, now: float) -> bool:
@@ -418,7 +374,7 @@
         self.log.write('resigned', group=leader.group, fence=leader.fence)
         leader.close()
         self.leader = None
-        self.not_before = boot_time() + LATE_ORDER_S
+        self.lead.not_before = boot_time() + LATE_ORDER_S
 
     def may_live(self, former: LeaderRow, own: EngineState) -> bool:
         """Tell whether a leader that was never heard may be alive.
@@ -427,10 +383,12 @@
 
         :returns: True where its word should be awaited.
         """
-        known = former.fence <= self.fence or former.fence in self.greeted
+        known = (
+            former.fence <= self.lead.fence or former.fence in self.lead.greeted
+        )
         if known or not former.address:
             return False
-        self.greeted.add(former.fence)
+        self.lead.greeted.add(former.fence)
         number = int(boot_time() * READINGS_A_SECOND)
         news = StateNews(self.settings.engine, own, number)
         self.datagrams.send(write_state(news), former.address)
@@ -438,7 +396,7 @@
 
     def claim(self, own: EngineState) -> None:
         """Try to become the leader."""
-        self.lead_heard_at = boot_time()
+        self.lead.heard_at = boot_time()
         try:
             if self.rules is None:
                 self.rules = self.adapter.map_rules(self.settings)
@@ -455,10 +413,12 @@
             return
         if fence is None or self.rules is None:
             return
-        self.log.write('lead', group=own.group, fence=fence, former=former.fence)
-        self.fence = fence
+        self.log.write(
+            'lead', group=own.group, fence=fence, former=former.fence
+        )
+        self.lead.fence = fence
         self.agent.fence = fence
-        self.lead_address = self.settings.peers
+        self.lead.address = self.settings.peers
         self.leader = MapLeader(
             own,
             fence,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -22,6 +22,8 @@
 # Pauses between calls to a store that does not answer.
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
+# Pauses are spread by this share, so that nodes do not call together.
+JITTER = (0.7, 1.3)
 # A stale reading is tried again after this time.
 STALE_RETRY_S = 0.25
 
@@ -120,7 +122,7 @@
                 self.step()
             except StoreAway as error:
                 self.lost(str(error))
-                gevent.sleep(self.retry_s * self.source.uniform(0.7, 1.3))
+                gevent.sleep(self.retry_s * self.source.uniform(*JITTER))
                 self.retry_s = min(LONGEST_RETRY_S, self.retry_s * 2)
 
     def step(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
@@ -17,6 +17,8 @@
 PROBE_IDLE_S = 1
 PROBE_GAP_S = 1
 PROBES = 1
+# A socket without time would not block, and fail at once.
+SHORTEST_WAIT_S = 0.001
 READ_BYTES = 65536
 # Longest that an unused connection is trusted where its owner says nothing.
 KEEP_IDLE_S = 4.0
@@ -80,7 +82,7 @@
         :raises Unreachable: where that fails in the time allowed.
         """
         set_probes(self.sock)
-        self.sock.settimeout(timeout_s)
+        self.sock.settimeout(max(timeout_s, SHORTEST_WAIT_S))
         try:
             self.sock.connect(split_address(self.address))
         except OSError as error:
@@ -97,7 +99,7 @@
         :raises Broken: where the connection does not take it.
         """
         self.parser = AnswerParser(method)
-        self.sock.settimeout(timeout_s)
+        self.sock.settimeout(max(timeout_s, SHORTEST_WAIT_S))
         try:
             self.sock.sendall(request)
         except OSError as error:
@@ -112,7 +114,7 @@
         parser = self.parser
         if parser.spoilt:
             raise Broken(f'no answer in these bytes: {parser.spoilt}')
-        self.sock.settimeout(max(timeout_s, 0.001))
+        self.sock.settimeout(max(timeout_s, SHORTEST_WAIT_S))
         try:
             received = self.sock.recv(READ_BYTES)
         except TimeoutError as error:
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -109,10 +109,18 @@
 def make_route(prefix, kind, **changes):
     """Make a route of the one service."""
     fields = {
-        'name': prefix, 'host': 'h.example', 'prefix': prefix, 'kind': kind,
-        'timeout_s': 5.0, 'target_s': 0.4, 'gap_target_s': 0.1,
-        'priority': 1, 'services': (ServiceShare('s', 1),), 'attempts': 2,
-        'public': False, 'resumable': False,
+        'name': prefix,
+        'host': 'h.example',
+        'prefix': prefix,
+        'kind': kind,
+        'timeout_s': 5.0,
+        'target_s': 0.4,
+        'gap_target_s': 0.1,
+        'priority': 1,
+        'services': (ServiceShare('s', 1),),
+        'attempts': 2,
+        'public': False,
+        'resumable': False,
     }
     return Route(**{**fields, **changes})
 
@@ -137,16 +145,29 @@
         ]
         self.log = Quiet()
         settings = DirectSettings(
-            node='entry', availability_zone='z', callers='127.0.0.1:0',
-            readiness='', metrics='', peers='', store='',
-            retries=RetryLimits(0.2, 1000, 10), grace_s=8, seed=1,
+            node='entry',
+            availability_zone='z',
+            callers='127.0.0.1:0',
+            readiness='',
+            metrics='',
+            peers='',
+            store='',
+            retries=RetryLimits(0.2, 1000, 10),
+            grace_s=8,
+            seed=1,
         )
         self.entry = DirectEntry(
-            settings, PlatformDialect(), self.log, Metrics(),
+            settings,
+            PlatformDialect(),
+            self.log,
+            Metrics(),
         )
         self.entry.configured(
             make_route_table(
-                1, ROUTES, [], {'key': Team('team')},
+                1,
+                ROUTES,
+                [],
+                {'key': Team('team')},
                 limits or CallerLimits(),
             ),
         )
--- a/tests/engine_group.py
+++ b/tests/engine_group.py
@@ -47,11 +47,17 @@
         """Read one engine."""
         one = self.engines[rank]
         return EngineState(
-            group='g', epoch=1, rank=rank, size=self.size, is_open=True,
-            step=self.step, version=one.version,
+            group='g',
+            epoch=1,
+            rank=rank,
+            size=self.size,
+            is_open=True,
+            step=self.step,
+            version=one.version,
             prepared=one.prepared[0] if one.prepared else None,
             armed=ArmedSwitch(*one.armed) if one.armed else None,
-            held=one.held, sequence=0,
+            held=one.held,
+            sequence=0,
         )
 
     def obey(self, rank, order):
--- a/tests/test_backlog_after_outage.py
+++ b/tests/test_backlog_after_outage.py
@@ -49,7 +49,11 @@
                 line.started(waiter, at)
                 start(waiter, waiting.pop(waiter), at)
         waiter = Waiter(
-            's', 1, began + TARGET_S, began + PATIENCE_S, frozenset(),
+            's',
+            1,
+            began + TARGET_S,
+            began + PATIENCE_S,
+            frozenset(),
         )
         if len(ends) < SLOTS:
             assert not line.waiters
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -39,7 +39,7 @@
         assert (status, body) == (200, b'body')
         assert headers['x-server-signature'] == 's'
         assert headers['x-other'] == 'y'
-        (first, seen, sent), = world.upstreams[0].seen
+        ((first, seen, sent),) = world.upstreams[0].seen
         assert first == ['POST', '/safe/x?q=1']
         assert sent == b'abc'
         assert seen['x-tenant'] == 'team'
@@ -117,14 +117,19 @@
         assert world.runs == 1
 
 
-@pytest.mark.parametrize('spoil', [
-    b'garbage that is no answer\r\n\r\n',
-    b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n' + SIGNED.encode()
-    + b'\r\nshort',
-    b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok',
-    b'HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n' + SIGNED.encode()
-    + b'Content-Length: 2\r\n\r\nok',
-])
+@pytest.mark.parametrize(
+    'spoil',
+    [
+        b'garbage that is no answer\r\n\r\n',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 90\r\n'
+        + SIGNED.encode()
+        + b'\r\nshort',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n'
+        + SIGNED.encode()
+        + b'Content-Length: 2\r\n\r\nok',
+    ],
+)
 def test_spoilt_answers_never_reach_a_caller(spoil):
     def script(_upstream, sock, _request):
         sock.sendall(spoil)
@@ -235,22 +240,27 @@
         assert float(headers['retry-after']) > 0
 
 
-HEAD = b'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n'
-
-
-@pytest.mark.parametrize('headers', [
-    b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
-    b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
-    b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n',
-    b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
-    b'Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
-    b'Content-Length: +3\r\n\r\nabc',
-    b'Content-Length: -1\r\n\r\n',
-    b'Content-Length : 3\r\n\r\nabc',
-    b'X-A: b\r\n folded: c\r\nContent-Length: 0\r\n\r\n',
-    b'X-A\x00: b\r\nContent-Length: 0\r\n\r\n',
-    b': empty\r\nContent-Length: 0\r\n\r\n',
-])
+HEAD = (
+    b'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer key\r\n'
+)
+
+
+@pytest.mark.parametrize(
+    'headers',
+    [
+        b'Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd',
+        b'Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: x\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n',
+        b'Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n',
+        b'Content-Length: +3\r\n\r\nabc',
+        b'Content-Length: -1\r\n\r\n',
+        b'Content-Length : 3\r\n\r\nabc',
+        b'X-A: b\r\n folded: c\r\nContent-Length: 0\r\n\r\n',
+        b'X-A\x00: b\r\nContent-Length: 0\r\n\r\n',
+        b': empty\r\nContent-Length: 0\r\n\r\n',
+    ],
+)
 def test_headers_that_two_readers_may_read_apart_are_refused(headers):
     with World(answering()) as world:
         smuggled = b'GET /public/smuggled HTTP/1.1\r\nHost: h.example\r\n\r\n'
@@ -259,13 +269,16 @@
         assert world.runs == 0
 
 
-@pytest.mark.parametrize('line', [
-    b'garbage\r\n\r\n',
-    b'POST /safe/\r\n\r\n',
-    b'POST /safe/ HTTP/9.9\r\n\r\n',
-    b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n',
-    b'GET ' + b'/' * 20000 + b' HTTP/1.1\r\n\r\n',
-])
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'garbage\r\n\r\n',
+        b'POST /safe/\r\n\r\n',
+        b'POST /safe/ HTTP/9.9\r\n\r\n',
+        b'\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n',
+        b'GET ' + b'/' * 20000 + b' HTTP/1.1\r\n\r\n',
+    ],
+)
 def test_lines_that_are_no_request_are_refused(line):
     with World(answering()) as world:
         assert parse(world.raw(line))[0] in {0, 400, 414}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -26,7 +26,9 @@
 
 
 @pytest.mark.parametrize(
-    'endings', list(itertools.product(Ending, repeat=3)), ids=str,
+    'endings',
+    list(itertools.product(Ending, repeat=3)),
+    ids=str,
 )
 def test_no_series_of_endings_repeats_what_may_have_run(endings):
     state = make_hand_over(repeatable=False, attempts=2, deadline=10)
--- a/tests/test_map_control.py
+++ b/tests/test_map_control.py
@@ -10,15 +10,17 @@
 from comfreyarch_core.mapcontrol import (
     ARM_TIMEOUT_S,
     PREPARE_TIMEOUT_S,
-    ChangeMap,
     MapControl,
+    make_map_control,
+)
+from comfreyarch_core.mapturns import (
+    ChangeMap,
     Phase,
     Recover,
     Reported,
     Send,
     Settled,
     Tick,
-    make_map_control,
 )
 
 MAP0 = 'map0'
@@ -90,8 +92,7 @@
         self.now += source.choice((0, 0.005, 0.05, 0.2))
         what = source.random()
         alive = [
-            leader for leader in self.leaders
-            if leader.fence not in self.paused
+            leader for leader in self.leaders if leader.fence not in self.paused
         ]
         if what < 0.2:
             self.group.begin()
--- a/tests/test_routetable.py
+++ b/tests/test_routetable.py
@@ -13,8 +13,18 @@
 def route(prefix, kind=RouteKind.idempotent, host='a.example', resumable=False):
     """Make a route."""
     return Route(
-        prefix, host, prefix, kind, 2, 0.4, 0.1, 1,
-        (ServiceShare('s', 1),), 2, False, resumable,
+        prefix,
+        host,
+        prefix,
+        kind,
+        2,
+        0.4,
+        0.1,
+        1,
+        (ServiceShare('s', 1),),
+        2,
+        False,
+        resumable,
     )
 
 
--- a/tests/test_tablebelief.py
+++ b/tests/test_tablebelief.py
@@ -39,9 +39,17 @@
 
 
 @settings(deadline=None)
-@given(strategies.lists(strategies.tuples(
-    strategies.integers(0, 3), strategies.booleans(), strategies.booleans(),
-), max_size=40), strategies.randoms(use_true_random=False))
+@given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 3),
+            strategies.booleans(),
+            strategies.booleans(),
+        ),
+        max_size=40,
+    ),
+    strategies.randoms(use_true_random=False),
+)
 def test_versions_of_a_row_never_fall(steps, source):
     history = []
     belief = make_table_belief()
