--- a/packages/comfreyarch-core/src/comfreyarch_core/mappressure.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mappressure.py
@@ -56,13 +56,12 @@
 
     def time_pass(self, step: int, now: float) -> None:
         """Time the passes since the last look."""
-        if step <= self.step or self.step < 0:
-            if step != self.step or now - self.since > IDLE_S:
-                self.step = step
-                self.since = now
-            return
         span = now - self.since
-        if span < PASS_SPAN_S:
+        if self.step < 0 or step < self.step or span > IDLE_S:
+            self.step = step
+            self.since = now
+            return
+        if step == self.step or span < PASS_SPAN_S:
             return
         one = span / (step - self.step)
         self.pass_s += PASS_WEIGHT * (one - self.pass_s)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,374 @@
+"""The platform's documents, headers and reports, as its pages show them."""
+
+import json
+
+import msgspec
+import pytest
+
+from comfreyarch_core.enginestate import (
+    ArmedSwitch,
+    ArmMap,
+    DisarmMap,
+    HoldStep,
+    PrepareMap,
+    ReleaseStep,
+)
+from comfreyarch_core.routetable import RouteKind
+from comfreyarch_daemon.dialect import SendFacts
+from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.tablewatch import StoreAway
+from comfreyarch_platform.bootfile import (
+    read_entry_settings,
+    read_rank_settings,
+)
+from comfreyarch_platform.callheaders import PlatformDialect
+from comfreyarch_platform.documents import (
+    DocumentError,
+    decode_configuration,
+    decode_map_rules,
+    decode_upstream,
+)
+from comfreyarch_platform.engines import decode_state, encode_order
+from comfreyarch_platform.tables import decode_state as decode_rows
+
+CONFIGURATION = {
+    'version': 7,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'h.example',
+            'prefix': '/a/',
+            'kind': 'streaming',
+            'timeoutMs': 8000,
+            'targetLatencyMs': 402,
+            'priority': 1,
+            'trafficSplit': [
+                {'service': 'x', 'weight': 90},
+                {'service': 'y', 'weight': 10},
+            ],
+            'attempts': 2,
+            'public': False,
+            'stickySessions': True,
+            'resumable': True,
+            'targetGapMs': 120,
+        },
+        {
+            'name': 'q',
+            'host': 'h.example',
+            'prefix': '/b/',
+            'kind': 'non_idempotent',
+            'timeoutMs': 2000,
+            'service': 'y',
+        },
+    ],
+    'services': [
+        {
+            'name': 'x',
+            'healthPath': '/health',
+            'connectionLimit': 516,
+            'engine': {
+                'slots': 6,
+                'step_ms': 5.85,
+                'per_seq_ms': 0.71,
+                'read_per_s': 61200.0,
+                'usual': {'prompt': 835, 'answer': 139},
+                'sets': 6,
+                'experts': 64,
+                'rankCapacity': 11,
+                'spare': 4,
+            },
+        },
+        {'name': 'y', 'connectionLimit': 220},
+    ],
+    'limits': {
+        'maxHeaderBytes': 100,
+        'maxBodyBytes': 200,
+        'headerTimeoutMs': 3000,
+        'idleTimeoutMs': 15000,
+    },
+    'tenants': [{'name': 't', 'apiKeys': ['k', 'l'], 'priority': 3}],
+    'fieldOfALaterRelease': {'x': 1},
+}
+SERVER = {
+    'service': 'x',
+    'address': '10.0.0.9:8080',
+    'zone': 'z',
+    'version': 'v1',
+    'slots': 6,
+    'state': 'ready',
+    'coldRemainingMs': 500,
+    'sequence': 4,
+}
+
+
+def test_a_configuration():
+    table = decode_configuration(json.dumps(CONFIGURATION).encode())
+    route = table.match('h.example', '/a/x')
+    assert route.kind == RouteKind.streaming
+    assert (route.timeout_s, route.target_s) == (8, 0.402)
+    assert route.gap_target_s == 0.12
+    assert [share.weight for share in route.services] == [90, 10]
+    assert table.match('h.example', '/b/').services[0].service == 'y'
+    assert table.services['x'].engine.step_s == pytest.approx(0.00585)
+    assert table.team_of('l').priority == 3
+    assert table.limits.idle_timeout_s == 15
+
+
+def test_without_tenants_no_keys_are_asked_for():
+    plain = {**CONFIGURATION, 'tenants': None}
+    assert not decode_configuration(json.dumps(plain).encode()).asks_keys
+    empty = {**CONFIGURATION, 'tenants': []}
+    assert decode_configuration(json.dumps(empty).encode()).asks_keys
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        b'',
+        b'{',
+        b'[]',
+        b'{"version": "x"}',
+        b'\xff\xfe',
+        json.dumps({'version': 1, 'routes': [{'name': 'r'}]}).encode(),
+        json.dumps(
+            {
+                'version': 1,
+                'routes': [
+                    {**CONFIGURATION['routes'][0], 'kind': 'other'},
+                ],
+            }
+        ).encode(),
+    ],
+)
+def test_a_configuration_that_cannot_be_read(document):
+    with pytest.raises(DocumentError):
+        decode_configuration(document)
+
+
+def test_rules_of_maps():
+    document = json.dumps(CONFIGURATION).encode()
+    rules = decode_map_rules(document, 'x')
+    assert (rules.limits.experts, rules.limits.capacity) == (64, 11)
+    assert rules.limits.fresh == 4
+    assert rules.figures.gap_s == 0.12
+    assert decode_map_rules(document, 'y') is None
+
+
+def test_a_server():
+    entry = decode_upstream('i-1', json.dumps(SERVER).encode(), 12)
+    assert (entry.name, entry.listed, entry.cold_s) == ('i-1', 12, 0.5)
+    assert not entry.leaving
+    leaving = {**SERVER, 'state': 'draining'}
+    assert decode_upstream('i', json.dumps(leaving).encode(), 1).leaving
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'service': None},
+        {'service': 5},
+        {'service': ''},
+        {'address': 'x'},
+        {'address': '10.0.0.9'},
+        {'zone': []},
+        {'slots': 0},
+        {'slots': True},
+        {'slots': '6'},
+        {'state': 'other'},
+        {'state': None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_server(change):
+    with pytest.raises(DocumentError):
+        decode_upstream('i', json.dumps({**SERVER, **change}).encode(), 1)
+
+
+@pytest.mark.parametrize('document', [b'', b'\x00', b'[1]', b'"x"', b'null'])
+def test_bytes_that_are_no_entry(document):
+    with pytest.raises(DocumentError):
+        decode_upstream('i', document, 1)
+
+
+CALL = [
+    ('Host', 'h.example'),
+    ('X-Attempt-Id', 'a'),
+    ('X-Deadline-Ms', '8050'),
+    ('X-Model', 'm'),
+    ('X-Token-Counts', '1460,80'),
+    ('X-Prompt-Prefix', '5c:800,91:410'),
+    ('Authorization', 'Bearer key'),
+    ('Connection', 'keep-alive, X-Hop'),
+    ('X-Hop', '1'),
+    ('X-Tenant', 'no'),
+    ('X-Expected-Instance', 'no'),
+    ('X-Own', 'y'),
+    ('Content-Length', '3'),
+]
+
+
+def test_headers_of_a_call():
+    dialect = PlatformDialect()
+    head = dialect.read_call(CALL)
+    assert (head.attempt, head.left_s, head.key) == ('a', 8.05, 'key')
+    assert (head.prompt_tokens, head.answer_tokens) == (1460, 80)
+    assert head.last_event == -1
+    facts = SendFacts('i-1', 1.5, 't', 2, 11)
+    sent = dict(dialect.send_headers(head, facts))
+    assert sent['X-Deadline-Ms'] == '1500'
+    assert sent['X-Expected-Instance'] == 'i-1'
+    assert sent['X-Tenant'] == 't'
+    assert sent['Last-Event-Id'] == '11'
+    assert sent['X-Prompt-Prefix'] == '5c:800,91:410'
+    assert sent['X-Own'] == 'y'
+    assert not {'Authorization', 'X-Hop', 'Connection'} & sent.keys()
+
+
+def test_headers_of_an_answer():
+    head = PlatformDialect().read_answer(
+        [
+            ('X-Attempt-Id', 'a'),
+            ('X-Server-Signature', 's'),
+            ('X-Server-Load', '3, 1,6'),
+            ('Keep-Alive', 'max=9, timeout=4'),
+            ('Connection', 'keep-alive'),
+            ('Content-Length', '2'),
+            ('X-B', 'c'),
+        ]
+    )
+    assert head.signed
+    assert not head.not_run
+    assert (head.load.running, head.load.waiting, head.load.slots) == (3, 1, 6)
+    assert head.keep_s == 4
+    assert ('X-B', 'c') in head.passed_on
+    assert len(head.passed_on) == 4
+
+
+@pytest.mark.parametrize('load', ['', '1,2', 'a,b,c', '1,2,3,4', '-1,2,3'])
+def test_a_load_that_cannot_be_read_is_none(load):
+    assert PlatformDialect().read_answer([('X-Server-Load', load)]).load is None
+
+
+REPORT = {
+    'group': {'name': 'g', 'epoch': 2, 'rank': 3, 'state': 'open'},
+    'size': 8,
+    'sequence': 0,
+    'queuedRequests': 1,
+    'activeRequests': 4,
+    'pace': 1.5,
+    'step': 376,
+    'expertMap': 5,
+    'isPrepared': None,
+    'isArmed': None,
+    'held': None,
+}
+
+
+def test_a_report():
+    state = decode_state(REPORT)
+    assert (state.epoch, state.rank, state.step) == (2, 3, 376)
+    assert (state.running, state.waiting, state.pace) == (4, 1, 1.5)
+    armed = {'version': 6, 'step': 380}
+    later = {**REPORT, 'isPrepared': 6, 'isArmed': armed, 'held': 380}
+    state = decode_state(later)
+    assert (state.prepared, state.held) == (6, 380)
+    assert state.armed == ArmedSwitch(6, 380)
+    assert decode_state({'size': 1}) is None
+
+
+@pytest.mark.parametrize(
+    ('order', 'fields'),
+    [
+        (
+            PrepareMap(4, (((0, 2), (1, 0)),)),
+            {
+                'operation': 'prepare',
+                'version': 4,
+                'expertMap': [[[0, 2], [1, 0]]],
+            },
+        ),
+        (ArmMap(4, 9), {'operation': 'arm', 'version': 4, 'step': 9}),
+        (DisarmMap(4), {'operation': 'disarm', 'version': 4}),
+        (HoldStep(9), {'operation': 'retention', 'step': 9}),
+        (ReleaseStep(9), {'operation': 'go', 'step': 9}),
+    ],
+)
+def test_orders(order, fields):
+    assert json.loads(msgspec.json.encode(encode_order(order))) == fields
+
+
+def test_rows():
+    state = decode_rows(
+        {
+            'rows': [
+                {'key': 'k', 'value': 'bm9kZS0x', 'schemaVersion': 412},
+                {'key': 'l', 'schemaVersion': 413, 'isRemoved': True},
+            ],
+            'schemaVersion': 530,
+        }
+    )
+    assert [row.content for row in state.rows] == [b'node-1', b'']
+    assert [row.removed for row in state.rows] == [False, True]
+    assert state.version == 530
+
+
+@pytest.mark.parametrize(
+    'page',
+    [
+        {},
+        {'rows': None, 'schemaVersion': 1},
+        {'rows': [{}], 'schemaVersion': 1},
+        {'rows': []},
+        {
+            'rows': [{'key': 'k', 'value': '!', 'schemaVersion': 1}],
+            'schemaVersion': 'x',
+        },
+    ],
+)
+def test_malformed_pages_count_as_no_answer(page):
+    with pytest.raises(StoreAway):
+        decode_rows(page)
+
+
+BOOT = {
+    'nodeName': 'edge-1',
+    'ipAddress': '10.1.0.40',
+    'zone': 'z',
+    'listenAddresses': {'frontend': '10.1.0.40:1', 'ready': '10.1.0.40:2'},
+    'internalPortRange': [7340, 7355],
+    'bounds': {
+        'gracePeriodS': 8,
+        'retryBudgetRatio': 0.2,
+        'retryWindowS': 10,
+        'retryAllowance': 184,
+        'stall_ms': 1500,
+    },
+    'platform': {'address': '10.200.1.7:8223', 'form': 'table'},
+    'later': 1,
+}
+
+
+def test_settings_of_an_entry(tmp_path):
+    path = tmp_path / 'boot'
+    path.write_text(json.dumps(BOOT))
+    settings = read_entry_settings(path)
+    assert settings.callers == '10.1.0.40:1'
+    assert settings.peers == '10.1.0.40:7340'
+    assert (settings.retries.ratio, settings.retries.allowance) == (0.2, 184)
+    with pytest.raises(SettingsError, match='no app'):
+        read_rank_settings(path)
+
+
+def test_settings_of_a_sidecar(tmp_path):
+    path = tmp_path / 'boot'
+    beside = {**BOOT, 'app': '10.1.0.40:8228', 'service': 'x'}
+    path.write_text(json.dumps({**beside, 'listenAddresses': {}}))
+    settings = read_rank_settings(path)
+    assert (settings.engine, settings.service) == ('10.1.0.40:8228', 'x')
+
+
+@pytest.mark.parametrize('content', ['', '{', '[]', '{"nodeName": 3}'])
+def test_settings_that_cannot_be_read_say_so(tmp_path, content):
+    path = tmp_path / 'boot'
+    path.write_text(content)
+    with pytest.raises(SettingsError, match=str(path)):
+        read_entry_settings(path)
