Entries tell each other which rows they know; a call that hangs is given up

Cause: the incident's logs show a table's call that the store never answered for 4.7 s while the other table's call had been reset: nothing but a later change or the end of the long wait shows it. Now a peer that knows a newer row does. Ruled out: shorter waits (each halves the wait for twice the calls).

--- a/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
@@ -20,6 +20,7 @@
     :param number: grows with each news of one incarnation.
     :param counts: requests in flight by upstream, zeros left out.
     :param waiting: requests that wait at the entry, by service.
+    :param tables: version of the newest row known, by table.
     """
 
     node: str
@@ -27,6 +28,7 @@
     number: int
     counts: dict[str, int]
     waiting: dict[str, int] = field(default_factory=dict)
+    tables: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -47,6 +47,8 @@
 ACCEPT_S = 3.0
 # How often a leaving entry looks whether its requests have ended.
 END_CHECK_S = 0.05
+# A table may be this long behind that of another entry.
+BEHIND_S = 0.6
 # How often the entries are listed; they hear of new ones by themselves.
 PEERS_S = 60.0
 # Kept free before the platform's forced end.
@@ -124,6 +126,8 @@
             self.log,
         )
         dispatcher.changed = self.peer_load.changed.set
+        self.peer_load.tables = self.table_versions
+        self.peer_load.on_tables = self.compare_tables
         self.datagrams.handlers[HEALTH] = self.heard_health
         self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
@@ -137,6 +141,20 @@
         """
         return TableWatch(name, table, listener, self.log, self.metrics)
 
+    def table_versions(self) -> dict[str, int]:
+        """Give the newest rows known.
+
+        :returns: versions by table.
+        """
+        return {watch.name: watch.newest for watch in self.watches}
+
+    def compare_tables(self, tables: dict[str, int]) -> None:
+        """Look again at tables of which another entry knows more."""
+        for watch in self.watches:
+            newest = tables.get(watch.name, 0)
+            if newest > watch.belief.version:
+                gevent.spawn_later(BEHIND_S, watch.poke, newest)
+
     def start(self) -> None:
         """Start all parts."""
         self.log.write('start', settings=str(self.path))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerload.py
@@ -42,6 +42,8 @@
     """Exchange load news with the other entries.
 
     :param peers: node → address, of all others known.
+    :param tables: gives the newest rows known, by table.
+    :param on_tables: called with those of another entry.
     """
 
     __slots__ = (
@@ -55,7 +57,9 @@
         'node',
         'number',
         'on_news',
+        'on_tables',
         'peers',
+        'tables',
         'told_lost_at',
         'worker',
     )
@@ -80,6 +84,8 @@
         self.load = load
         self.news = news
         self.on_news = on_news
+        self.tables: Callable[[], dict[str, int]] = dict
+        self.on_tables: Callable[[dict[str, int]], None] = ignore
         self.log = log
         self.peers: dict[str, str] = {}
         self.heard_at: dict[str, float] = {}
@@ -114,6 +120,7 @@
         now = boot_time()
         self.meet(news.node, address, now)
         if self.load.handle(news, now):
+            self.on_tables(news.tables)
             self.on_news()
 
     def meet(self, node: str, address: str, now: float) -> None:
@@ -154,6 +161,7 @@
             self.number,
             counts,
             waiting,
+            self.tables(),
         )
         encoded = cbor2.dumps(encode_news(news))
         to_lost = now - self.told_lost_at >= LOST_HEARTBEAT_S
@@ -176,6 +184,7 @@
         news.number,
         news.counts,
         news.waiting,
+        news.tables,
     ]
 
 
@@ -186,7 +195,7 @@
     :raises ValueError: where it is malformed.
     """
     node, incarnation, number = message[1:4]
-    counts, waiting = message[4:6]
+    counts, waiting, tables = message[4:7]
     if not isinstance(node, str) or not isinstance(number, int):
         raise ValueError('the news names no node')
     if not isinstance(incarnation, int):
@@ -197,6 +206,7 @@
         number,
         whole_counts(counts),
         whole_counts(waiting),
+        whole_counts(tables),
     )
 
 
@@ -212,3 +222,7 @@
         if not isinstance(name, str) or not isinstance(count, int):
             raise ValueError('a count of the news is none')
     return counts
+
+
+def ignore(_tables: dict[str, int]) -> None:
+    """Do nothing: nobody follows tables."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -79,6 +79,8 @@
         'log',
         'metrics',
         'name',
+        'newest',
+        'poked',
         'retry_s',
         'source',
         'table',
@@ -101,6 +103,8 @@
         self.metrics = metrics
         self.belief = make_table_belief()
         self.away = False
+        self.poked = False
+        self.newest = 0
         self.retry_s = FIRST_RETRY_S
         self.source = random.Random(name)
         self.worker: gevent.Greenlet | None = None
@@ -121,6 +125,8 @@
             try:
                 self.step()
             except StoreAway as error:
+                if self.poked:
+                    continue
                 self.lost(str(error))
                 gevent.sleep(self.retry_s * self.source.uniform(*JITTER))
                 self.retry_s = min(LONGEST_RETRY_S, self.retry_s * 2)
@@ -135,18 +141,40 @@
             self.read()
             return
         try:
-            wait_s = PROBE_WAIT_S if self.away else WAIT_S
+            quick = self.away or self.poked
+            self.poked = False
+            wait_s = PROBE_WAIT_S if quick else WAIT_S
             state = self.table.changes(self.belief.version, wait_s)
         except HistoryGone:
             self.log.write('history_gone', table=self.name)
             self.belief.history_lost()
             return
         self.answered()
+        self.took(state)
         change = self.belief.changed(state)
         if change.rows or change.removed:
             self.listener.changed(change)
             gevent.sleep(COALESCE_S)
 
+    def poke(self, newest: int) -> None:
+        """Ask again at once: another node knows of a newer row.
+
+        The call under way may never be answered, and nothing shows it.
+
+        :param newest: version of that row.
+        """
+        known = self.belief.version
+        if newest <= known or self.away or self.poked:
+            return
+        self.log.write(
+            'table_behind',
+            table=self.name,
+            known=known,
+            newest=newest,
+        )
+        self.poked = True
+        self.table.close()
+
     def read(self) -> None:
         """Read the whole table.
 
@@ -164,8 +192,14 @@
             gevent.sleep(STALE_RETRY_S)
             return
         self.answered()
+        self.took(state)
         self.listener.changed(change)
 
+    def took(self, state: TableState) -> None:
+        """Note the newest row that is known."""
+        versions = [row.version for row in state.rows]
+        self.newest = max([self.newest, *versions])
+
     def answered(self) -> None:
         """Note that the store answered."""
         self.retry_s = FIRST_RETRY_S
--- a/tests/test_table_watch.py
+++ b/tests/test_table_watch.py
@@ -1,6 +1,7 @@
 """A watch over a store that is away, slow to return, stale or forgetful."""
 
 import gevent
+import gevent.event
 
 from comfreyarch_core.tablebelief import TableRow, TableState
 from comfreyarch_daemon import tablewatch
@@ -85,6 +86,40 @@
 A1 = ('a', 1, False)
 
 
+class Hanging(Script):
+    """Never answer a call for changes until it is closed."""
+
+    def __init__(self, *answers):
+        super().__init__(*answers)
+        self.closed = gevent.event.Event()
+        self.waits = gevent.event.Event()
+
+    def changes(self, after, wait_s):
+        """Hang, once."""
+        if not self.closed.is_set():
+            self.waits.set()
+            self.closed.wait()
+            raise StoreAway('closed')
+        return self.take((after, wait_s))
+
+    def close(self):
+        """End the call."""
+        self.closed.set()
+
+
+def test_a_call_that_is_never_answered_ends_when_a_peer_knows_more():
+    script = Hanging(state(5, A1), state(9, ('b', 9, False)))
+    listener = Listener()
+    watch = TableWatch('t', script, listener, EventLog('n', 2), Metrics())
+    watch.start()
+    assert script.waits.wait(20)
+    watch.poke(5)
+    assert not script.closed.is_set()
+    watch.poke(9)
+    watch.worker.join(20)
+    assert listener.found == [(['a'], []), (['b'], [])]
+
+
 def test_read_then_follow(monkeypatch):
     script, found = run(
         monkeypatch,
