--- a/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
@@ -36,7 +36,8 @@
     if checked.faults:
         print_faults(checked.faults)
         count = len(checked.faults)
-        raise CommandError(f'{count} faults; nothing published', Exit.faulty)
+        noun = 'fault' if count == 1 else 'faults'
+        raise CommandError(f'{count} {noun}; nothing published', Exit.faulty)
     return raw
 
 
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from comfreyarch_cli import changes, reports
+from comfreyarch_cli import changes, explaining, reports
 from comfreyarch_cli.access import list_instances, open_store, read_pages
 from comfreyarch_cli.errors import CommandError, Exit
 from comfreyarch_cli.output import print_json, print_line, print_table
@@ -47,6 +47,22 @@
     print_line('no faults')
 
 
+@app.command()
+def explain(
+    request: Annotated[
+        str,
+        typer.Argument(help="The request's attempt id."),
+    ],
+    files: Annotated[
+        list[Path],
+        typer.Argument(help='Logs of entries and sidecars, in any order.'),
+    ],
+) -> None:
+    """Tell what became of one request, from the nodes' logs."""
+    for line in explaining.explain(request, files):
+        print_line(line)
+
+
 @app.command()
 def diff(files: Files, store: StoreOption) -> None:
     """Show what publishing these files would change."""
--- a/packages/comfreyarch-core/src/comfreyarch_core/checking.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/checking.py
@@ -29,10 +29,29 @@
     """
     reader = SetReader(files or {})
     config = reader.read(raw)
-    faults = list(reader.faults)
-    if not faults:
-        faults.extend(reader.place(fault) for fault in references(config))
-    return Checked(config, tuple(faults))
+    unread = unread_names(raw, config)
+    related = (
+        reader.place(fault)
+        for fault in references(config)
+        if fault.target not in unread
+    )
+    return Checked(config, (*reader.faults, *related))
+
+
+def unread_names(raw: RawSet, config: ConfigSet) -> set[str]:
+    """List the objects that are there but could not be read.
+
+    A reference to one of them is no fault of its own.
+
+    :returns: each as ``kind.name``.
+    """
+    return {
+        f'{kind}.{name}'
+        for kind, table in raw.items()
+        if kind in objects.KINDS and isinstance(table, dict)
+        for name in table
+        if name not in getattr(config, kind)
+    }
 
 
 class SetReader:
@@ -59,6 +78,7 @@
             fault.field,
             fault.message,
             fault.remedy,
+            fault.target,
         )
 
     def add(self, name: str, member: str, message: str, remedy: str) -> None:
--- a/packages/comfreyarch-core/src/comfreyarch_core/references.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/references.py
@@ -16,7 +16,8 @@
     :returns: the fault.
     """
     remedy = f'define {target} or name another'
-    return Fault('', name, member, f'refers to no {target}', remedy)
+    message = f'refers to no {target}'
+    return Fault('', name, member, message, remedy, target)
 
 
 def references(config: ConfigSet) -> Iterator[Fault]:
@@ -76,7 +77,11 @@
         group = config.model_groups.get(upstream.group)
         if group is None:
             if upstream.group not in config.service_groups:
-                yield missing(place, 'group', f'group {upstream.group}')
+                yield missing(
+                    place,
+                    'group',
+                    f'model_groups.{upstream.group}',
+                )
             continue
         if not 0 <= upstream.rank < group.ranks:
             remedy = f'use 0 to {group.ranks - 1}'
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -213,3 +213,24 @@
     late.poll()
     assert keeper.follower.raw == late.follower.raw
     assert seen == sorted(seen)
+
+
+def test_one_type_fault_hides_no_other_fault():
+    raw = {
+        'teams': {'broken': {'token_sha256': 5}},
+        'objectives': {'o': {'target': 7}},
+        'routes': {'r': {'group': 'none', 'prefix': 'x'}},
+    }
+    found = {(fault.object, fault.field) for fault in check(raw).faults}
+    assert ('teams.broken', 'token_sha256') in found
+    assert ('routes.r', 'group') in found
+    assert ('routes.r', 'prefix') in found
+
+
+def test_a_reference_to_an_unreadable_object_is_no_fault_of_its_own():
+    raw = {
+        'service_groups': {'g': {'slots': 'x', 'unknown': 1}},
+        'routes': {'r': {'group': 'g', 'prefix': '/x'}},
+    }
+    found = {(fault.object, fault.field) for fault in check(raw).faults}
+    assert not [place for place in found if place[0] == 'routes.r']
