--- a/packages/comfreyarch-core/src/comfreyarch_core/enginehealth.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/enginehealth.py
@@ -10,6 +10,9 @@
 
 # A pass takes up to 0.12 s, and a third longer while experts are copied.
 STALLED_S = 0.45
+# A group that stalled and lost its requests tells nothing of itself; it is
+# tried again after this time.
+RETRY_S = 2.0
 # Paces are told in steps of this size.
 PACE_STEP = 0.25
 
@@ -33,11 +36,13 @@
     """Follow the passes of one engine.
 
     :param moved_at: when a pass was last seen to begin, or nothing ran.
+    :param stalled_at: when it was last seen to stand still.
     """
 
     step: int = -1
     epoch: int = -1
     moved_at: float = 0
+    stalled_at: float = -RETRY_S
 
     def handle(self, state: EngineState, now: float) -> EngineHealth:
         """Take a report.
@@ -46,11 +51,15 @@
         """
         idle = state.running + state.waiting == 0
         moved = state.step != self.step or state.epoch != self.epoch
+        if moved:
+            self.stalled_at = -RETRY_S
         if idle or moved:
             self.moved_at = now
         self.step = state.step
         self.epoch = state.epoch
-        stalled = now - self.moved_at > STALLED_S
+        if now - self.moved_at > STALLED_S:
+            self.stalled_at = now
+        stalled = now - self.stalled_at < RETRY_S
         steps = round(max(1.0, state.pace) / PACE_STEP)
         return EngineHealth(
             state.group,
--- a/packages/comfreyarch-core/src/comfreyarch_core/handover.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/handover.py
@@ -71,14 +71,19 @@
             return False
         return self.runs < self.attempts and self.rejected <= MAX_REJECTED
 
-    def refusal(self, kind: Kind, retry_after_s: float) -> Refusal:
+    def refusal(
+        self,
+        kind: Kind,
+        retry_after_s: float,
+        detail: str = '',
+    ) -> Refusal:
         """Give the final answer to a request that is given up.
 
         :returns: "not run" only where that is certain.
         """
         if self.runs:
-            return unknown(Kind.outcome_unknown)
-        return not_run(kind, retry_after_s)
+            return unknown(Kind.outcome_unknown, detail=detail)
+        return not_run(kind, retry_after_s, detail)
 
 
 def make_hand_over(
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -327,6 +327,7 @@
             kind=refusal.kind.value,
             ran=refusal.ran.value,
             retry_after_s=refusal.retry_after_s,
+            why=refusal.detail,
             version=self.table.version if self.table else 0,
         )
         told = {'error': refusal.kind.value, 'remedy': refusal.remedy}
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -16,12 +16,19 @@
 class NoPlace(Exception):
     """Tell that a request cannot start in time.
 
+    :param why: what decided it.
     :param retry_after_s: when the line is expected to be worked off.
     """
 
-    def __init__(self, retry_after_s: float, *, upstreams: bool) -> None:
+    def __init__(
+        self,
+        why: str,
+        retry_after_s: float,
+        *,
+        upstreams: bool,
+    ) -> None:
         """Hold when to come back, and whether there are upstreams at all."""
-        super().__init__(f'no place within {retry_after_s:.3f} s')
+        super().__init__(why)
         self.retry_after_s = retry_after_s
         self.upstreams = upstreams
 
@@ -71,9 +78,11 @@
             if view is not None:
                 return view
         if not self.candidates(waiter):
-            raise NoPlace(0, upstreams=False)
+            raise NoPlace('no upstream is listed', 0, upstreams=False)
         if line.hopeless(waiter, now):
-            raise NoPlace(line.wait_s(waiter, now), upstreams=True)
+            wait_s = line.wait_s(waiter, now)
+            why = f'{len(line.waiters)} wait, {wait_s:.2f} s expected'
+            raise NoPlace(why, wait_s, upstreams=True)
         return self.wait(waiter, line)
 
     def wait(self, waiter: Waiter, line: WaitLine) -> UpstreamView:
@@ -98,7 +107,9 @@
             self.results.pop(waiter, None)
             line.leave(waiter)
         if view is None:
-            raise NoPlace(line.start_s * len(line.waiters), upstreams=True)
+            why = f'no slot in time, {len(line.waiters)} wait'
+            wait_s = line.start_s * len(line.waiters)
+            raise NoPlace(why, wait_s, upstreams=True)
         return view
 
     def take(self, waiter: Waiter, now: float) -> UpstreamView | None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
@@ -223,7 +223,11 @@
             if self.begun:
                 raise CutOff(str(error)) from error
             kind = Kind.overloaded if error.upstreams else Kind.no_upstream
-            raise self.give_up(kind, error.retry_after_s) from error
+            raise self.give_up(
+                kind,
+                error.retry_after_s,
+                str(error),
+            ) from error
 
     def connect(self, view: UpstreamView) -> Connection:
         """Take an idle connection, or open one.
@@ -470,7 +474,12 @@
             return
         raise self.give_up(Kind.overloaded, SHORTEST_RETRY_AFTER_S)
 
-    def give_up(self, kind: Kind, retry_after_s: float) -> GaveUp:
+    def give_up(
+        self,
+        kind: Kind,
+        retry_after_s: float,
+        why: str = '',
+    ) -> GaveUp:
         """Make the final answer to a request that cannot be served.
 
         :returns: the exception to raise.
@@ -479,7 +488,7 @@
         if self.forwarder.placer.is_down(self.call.service, boot_time()):
             retry_after_s = longest
         come_back = max(SHORTEST_RETRY_AFTER_S, min(retry_after_s, longest))
-        return GaveUp(self.state.refusal(kind, come_back))
+        return GaveUp(self.state.refusal(kind, come_back, why))
 
 
 class Rejected(CallError):
--- a/tests/test_map_plan.py
+++ b/tests/test_map_plan.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from comfreyarch_core.enginehealth import STALLED_S, make_health_watch
+from comfreyarch_core.enginehealth import RETRY_S, STALLED_S, make_health_watch
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.mapplan import MapLimits, few_fresh, plan_map
 from comfreyarch_core.mappressure import GroupFigures, make_pressure
@@ -115,6 +115,15 @@
     assert watch.handle(state(4), STALLED_S * 1.2).usable
 
 
+def test_a_stalled_group_that_lost_its_requests_is_tried_again_later():
+    watch = make_health_watch()
+    watch.handle(state(3), 0)
+    assert not watch.handle(state(3), 0.5).usable
+    assert not watch.handle(state(3, 0), 0.6).usable
+    assert not watch.handle(state(3, 0), 0.4 + RETRY_S).usable
+    assert watch.handle(state(3, 0), 0.6 + RETRY_S).usable
+
+
 def test_an_idle_engine_is_usable():
     watch = make_health_watch()
     for tick in range(10):
