--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
@@ -38,6 +38,9 @@
 SILENT_TARGETS = 2.5
 # Shortest silence of that kind: engines pause for preempted work.
 SHORTEST_SILENCE_S = 0.7
+# Why a failed request is not sent again.
+NO_MORE_SENDS = 'no further send is allowed'
+BUDGET_USED = 'the retry budget is used up'
 # Bounds of the time after which a refused caller may come back.
 SHORTEST_RETRY_AFTER_S = 0.2
 RETRY_AFTER_SHARE = 0.3
@@ -435,9 +438,9 @@
         self.state.ended(name, ending)
         self.note_failure(name, ending, now)
         self.close()
-        again = self.state.may_send(now)
-        if again:
-            again = self.forwarder.share(self.call.service).take(now)
+        stop = '' if self.state.may_send(now) else NO_MORE_SENDS
+        if not stop and not self.forwarder.share(self.call.service).take(now):
+            stop = BUDGET_USED
         self.forwarder.log.write(
             'send_failed',
             request=self.call.head.attempt,
@@ -446,11 +449,12 @@
             why=str(error),
             runs=self.state.runs,
             rejected=self.state.rejected,
-            again=again,
+            again=not stop,
+            stop=stop,
         )
         self.forwarder.metrics.count('sends_failed', ending=ending.value)
-        if not again:
-            self.end_failed()
+        if stop:
+            self.end_failed(stop)
 
     def note_failure(self, name: str, ending: Ending, now: float) -> None:
         """Tell the placer what a failed send says of its upstream."""
@@ -465,14 +469,14 @@
             case _:
                 placer.failed(name, now)
 
-    def end_failed(self) -> None:
+    def end_failed(self, why: str) -> None:
         """End the request without a further send."""
         if self.begun:
             raise CutOff('the rest of the stream cannot be had')
         if self.failure is not None:
             self.given_back = self.failure
             return
-        raise self.give_up(Kind.overloaded, SHORTEST_RETRY_AFTER_S)
+        raise self.give_up(Kind.overloaded, SHORTEST_RETRY_AFTER_S, why)
 
     def give_up(
         self,
