--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -21,6 +21,7 @@
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import PeerLoad
 from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.settingsfile import SettingsFile
 from comfreyarch_daemon.smallpages import MetricsPage, ReadinessPage, serve
 from comfreyarch_daemon.tablelisteners import (
     Adapter,
@@ -62,6 +63,7 @@
         'adapter',
         'datagrams',
         'entry',
+        'file',
         'log',
         'metrics',
         'path',
@@ -109,7 +111,7 @@
         self.www = [
             serve(
                 settings.readiness,
-                ReadinessPage(adapter.readiness_path, self.entry),
+                ReadinessPage(adapter.readiness_path, self.entry.ready),
             ),
             serve(settings.metrics, MetricsPage(self.metrics)),
         ]
@@ -132,6 +134,7 @@
         self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
+        self.file = SettingsFile(path, self.reload)
         self.stopping = False
 
     def watch(self, name: str, table: TableSource, listener: Any) -> TableWatch:
@@ -165,12 +168,14 @@
             watch.start()
         self.datagrams.start()
         self.peer_load.start()
+        self.file.start()
         self.workers = [gevent.spawn(self.tick), gevent.spawn(self.find_peers)]
 
     def close(self) -> None:
         """Stop all parts."""
         for worker in self.workers:
             worker.kill(block=False)
+        self.file.close()
         self.peer_load.close()
         self.datagrams.close()
         for watch in self.watches:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
@@ -7,6 +7,8 @@
 HIGHEST_MS = 600_000
 DIGITS = 2
 MS_A_SECOND = 1000
+PERCENT = 100
+QUANTILES = (0.5, 0.9, 0.99, 1.0)
 
 
 class Metrics:
@@ -68,8 +70,27 @@
         }
 
     def text(self) -> bytes:
-        """Write all counters and gauges as Prometheus text.
+        """Write all counters, gauges and histograms as Prometheus text.
 
         :returns: the page.
         """
-        return bytes(generate_latest(self.registry))
+        summaries = '\n'.join(
+            line
+            for name, histogram in sorted(self.histograms.items())
+            for line in summary(f'comfreyarch_{name}_ms', histogram)
+        )
+        page = bytes(generate_latest(self.registry))
+        return b'%b%b\n' % (page, summaries.encode()) if summaries else page
+
+
+def summary(name: str, histogram: HdrHistogram) -> list[str]:
+    """Write a histogram as a Prometheus summary.
+
+    :returns: lines with quantiles, in milliseconds, and the count.
+    """
+    lines = [f'# TYPE {name} summary']
+    for quantile in QUANTILES:
+        level = histogram.get_value_at_percentile(quantile * PERCENT)
+        lines.append(f'{name}{{quantile="{quantile}"}} {level}')
+    lines.append(f'{name}_count {histogram.get_total_count()}')
+    return lines
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -5,7 +5,6 @@
 import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -44,6 +43,8 @@
 )
 from comfreyarch_daemon.ranksettings import RankAdapter
 from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.settingsfile import SettingsFile
+from comfreyarch_daemon.smallpages import MetricsPage, serve
 from comfreyarch_daemon.tablewatch import StoreAway
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -103,6 +104,7 @@
         'agent',
         'born_at',
         'datagrams',
+        'file',
         'health',
         'heard',
         'lead',
@@ -116,6 +118,7 @@
         'settings',
         'stopped',
         'workers',
+        'www',
     )
 
     def __init__(self, adapter: RankAdapter, path: Path) -> None:
@@ -143,6 +146,7 @@
             self.log,
             self.metrics,
         )
+        self.www = serve(settings.metrics, MetricsPage(self.metrics))
         self.leadership = adapter.open_leadership(settings)
         self.peers = adapter.open_peers(settings)
         self.leader: MapLeader | None = None
@@ -153,12 +157,15 @@
         self.heard: dict[int, StateNews] = {}
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
+        self.file = SettingsFile(path, self.reload)
 
     def start(self) -> None:
         """Start all parts."""
         self.log.write('start', engine=self.settings.engine)
+        self.www.start()
         self.datagrams.start()
         self.agent.start()
+        self.file.start()
         self.workers = [
             gevent.spawn(self.find_peers),
             gevent.spawn(self.follow),
@@ -170,8 +177,10 @@
             worker.kill(block=False)
         if self.leader is not None:
             self.leader.close()
+        self.file.close()
         self.agent.close()
         self.datagrams.close()
+        self.www.stop_accepting()
         self.log.write('stop')
         self.stopped.set()
 
@@ -190,16 +199,21 @@
         All start together, so the others are looked up a little later.
         """
         own = self.await_engine()
-        self.ask_peers(
-            lambda: self.peers.join(peer_name(own), self.settings.peers)
-        )
+        self.ask_peers(self.join, own)
         for _ in range(PEERS_TRIES):
             gevent.sleep(PEERS_S)
             if len(self.addresses) == own.size:
                 break
-            self.ask_peers(partial(self.learn, own))
+            self.ask_peers(self.learn, own)
         self.log.write('peers_listed', peers=len(self.addresses))
 
+    def join(self, own: EngineState) -> None:
+        """Make this sidecar known.
+
+        :raises StoreAway: where the table cannot be written.
+        """
+        self.peers.join(peer_name(own), self.settings.peers)
+
     def await_engine(self) -> EngineState:
         """Wait until the engine tells its group.
 
@@ -209,11 +223,15 @@
             gevent.sleep(FIRST_LOOK_S)
         return self.agent.state
 
-    def ask_peers(self, call: Callable[[], None]) -> None:
+    def ask_peers(
+        self,
+        call: Callable[[EngineState], None],
+        own: EngineState,
+    ) -> None:
         """Call the table of the sidecars until it answers."""
         while True:
             try:
-                call()
+                call(own)
             except StoreAway as error:
                 self.log.write('peers_unknown', why=str(error))
                 gevent.sleep(PEERS_S)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
@@ -18,6 +18,7 @@
 
     node: str
     peers: str
+    metrics: str
     engine: str
     service: str
     store: str
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/smallpages.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/smallpages.py
@@ -1,10 +1,10 @@
 """Serve readiness and metrics, each at an address of its own."""
 
+from collections.abc import Callable
 from typing import Any
 
 from gevent.pywsgi import WSGIServer
 
-from comfreyarch_daemon.directentry import DirectEntry
 from comfreyarch_daemon.listening import QuietHandler, open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.statuslines import StartResponse, status_line
@@ -31,12 +31,12 @@
 class ReadinessPage:
     """Tell the balancer in front whether to send callers here."""
 
-    __slots__ = ('entry', 'path')
+    __slots__ = ('path', 'ready')
 
-    def __init__(self, path: str, entry: DirectEntry) -> None:
+    def __init__(self, path: str, ready: Callable[[], bool]) -> None:
         """Name the page's path."""
         self.path = path
-        self.entry = entry
+        self.ready = ready
 
     def __call__(
         self,
@@ -47,7 +47,7 @@
 
         :returns: an empty body.
         """
-        status = OK_STATUS if self.entry.ready() else NOT_READY
+        status = OK_STATUS if self.ready() else NOT_READY
         if environ['PATH_INFO'] != self.path:
             status = NOT_FOUND
         start_response(status_line(status), [('Content-Length', '0')])
--- /dev/null
+++ b/tests/test_settings_file.py
@@ -0,0 +1,31 @@
+"""A settings file that changes without a signal."""
+
+from comfreyarch_daemon.settingsfile import SettingsFile
+
+
+def test_a_change_is_noticed_once(tmp_path):
+    path = tmp_path / 'settings'
+    path.write_text('one')
+    calls = []
+    file = SettingsFile(path, lambda: calls.append(path.read_text()))
+    file.look()
+    assert calls == []
+    path.write_text('another')
+    file.look()
+    file.look()
+    assert calls == ['another']
+
+
+def test_a_file_that_is_missing_for_a_moment_changes_nothing(tmp_path):
+    path = tmp_path / 'settings'
+    path.write_text('one')
+    calls = []
+    file = SettingsFile(path, lambda: calls.append(1))
+    path.unlink()
+    file.look()
+    assert calls == []
+    other = tmp_path / 'other'
+    other.write_text('two')
+    other.rename(path)
+    file.look()
+    assert calls == [1]
