--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -74,6 +74,7 @@
 class LeaderView:
     """Hold what a sidecar knows of its group's leader.
 
+    :param born_at: when this process began.
     :param heard_at: when a leader was last heard.
     :param fence: the highest fence heard of.
     :param address: where the leader takes datagrams.
@@ -83,6 +84,7 @@
     :param told_at: when it was told.
     """
 
+    born_at: float
     heard_at: float
     fence: int = 0
     address: str = ''
@@ -91,6 +93,13 @@
     told: EngineState | None = None
     told_at: float = 0
 
+    def is_young(self, now: float) -> bool:
+        """Tell whether orders of the process before may still come.
+
+        :returns: True for some seconds after the start.
+        """
+        return now - self.born_at < LATE_ORDER_S
+
 
 class RankNode:
     """Own a rank's sidecar.
@@ -102,7 +111,6 @@
         'adapter',
         'addresses',
         'agent',
-        'born_at',
         'datagrams',
         'file',
         'health',
@@ -151,8 +159,7 @@
         self.peers = adapter.open_peers(settings)
         self.leader: MapLeader | None = None
         self.rules: MapRules | None = None
-        self.lead = LeaderView(heard_at=boot_time())
-        self.born_at = boot_time()
+        self.lead = LeaderView(born_at=boot_time(), heard_at=boot_time())
         self.addresses: dict[int, str] = {}
         self.heard: dict[int, StateNews] = {}
         self.workers: list[gevent.Greenlet] = []
@@ -374,19 +381,12 @@
         """
         now = boot_time()
         if now < self.lead.not_before or (
-            self.is_young(now) and own.held is not None
+            self.lead.is_young(now) and own.held is not None
         ):
             return False
         silent_s = now - self.lead.heard_at
         return silent_s > LEAD_SILENT_S + LEAD_STEP_S * own.rank
 
-    def is_young(self, now: float) -> bool:
-        """Tell whether orders of the process before may still come.
-
-        :returns: True for some seconds after the start.
-        """
-        return now - self.born_at < LATE_ORDER_S
-
     def resign(self, leader: MapLeader) -> None:
         """Let another rank settle what this one cannot."""
         self.log.write('resigned', group=leader.group, fence=leader.fence)
@@ -450,7 +450,7 @@
         for news in self.heard.values():
             if news.state.epoch == own.epoch and news.state.rank != own.rank:
                 self.leader.seed(news)
-        if self.is_young(boot_time()):
+        if self.lead.is_young(boot_time()):
             self.leader.control.began_term(own.step)
         self.leader.start()
         self.tell_lead(self.leader)
