Roll of all entries: take what surely ends; wait for the first configuration

Now: a leaving entry takes what ends before it does; no change while orders go unanswered; a request waits up to 0.5 s for the first configuration.

--- a/packages/comfreyarch-core/src/comfreyarch_core/enginestate.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/enginestate.py
@@ -27,6 +27,7 @@
         orders about maps need not count.
     :param running: requests that the engine works on.
     :param waiting: requests that wait at the engine.
+    :param unanswered: orders that got no answer of late.
     :param pace: 1 where the engine is as fast as it should be, more if slow.
     """
 
@@ -44,6 +45,7 @@
     pace: float = 1
     running: int = 0
     waiting: int = 0
+    unanswered: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -28,6 +28,7 @@
 from comfreyarch_core.mapturns import (
     DEPOSED,
     NOT_HELD,
+    UNANSWERED,
     ChangeMap,
     Message,
     Outcome,
@@ -127,7 +128,9 @@
         """Begin a change, unless one is under way."""
         if self.phase != Phase.idle or not self.quiet():
             return []
-        if self.states[self.own].step < self.released:
+        if self.states[self.own].step < self.released or orders_fail(
+            self.states
+        ):
             return []
         self.target = content
         self.version = self.new_version()
@@ -208,6 +211,9 @@
 
     def prepare(self, now: float) -> list[Outcome]:
         """Let all ranks copy what they need."""
+        if orders_fail(self.states):
+            self.phase = Phase.idle
+            return [Settled(None, UNANSWERED)]
         waiting = self.unprepared(self.version)
         if not waiting:
             return self.enter(Phase.holding, now)
@@ -400,6 +406,14 @@
         self.released = max(self.released, step + 1)
 
 
+def orders_fail(states: dict[int, EngineState]) -> bool:
+    """Tell whether engines leave orders unanswered of late.
+
+    :returns: True where a change should wait.
+    """
+    return any(state.unanswered for state in states.values())
+
+
 def highest_version(state: EngineState) -> int:
     """Give the highest version that a rank shows.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapturns.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapturns.py
@@ -7,6 +7,9 @@
 
 # Why a change ended whose step could not be held.
 NOT_HELD = 'not held'
+# Why a change ended while orders go unanswered: behind a hold each of them
+# costs all streams of the group a pause.
+UNANSWERED = 'orders unanswered'
 # Why all ended: another leader with a higher fence is at work.
 DEPOSED = 'deposed'
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -4,8 +4,10 @@
 from collections.abc import Generator, Iterable
 from typing import Any
 
+from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from comfreyarch_core.lastrequests import ends_in_time
 from comfreyarch_core.placing import make_placer
 from comfreyarch_core.refusals import Kind, Refusal, not_run
 from comfreyarch_core.routetable import CallerLimits, Route, RouteTable
@@ -41,6 +43,9 @@
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 START_RETRY_AFTER_S = 0.05
+# A request that comes before the first configuration waits so long for it;
+# the store answers within this time, slow days included.
+FIRST_TABLE_S = 0.5
 
 
 class DirectEntry:
@@ -48,18 +53,20 @@
 
     :param table: the configuration in force, None before the first.
     :param open_requests: requests under way.
+    :param ends_at: when a leaving entry ends, once not all is taken any more.
     """
 
     __slots__ = (
         'dialect',
         'dispatcher',
+        'ends_at',
+        'first_table',
         'forwarder',
         'idle_sockets',
         'leaving',
         'log',
         'metrics',
         'open_requests',
-        'refuses',
         'server',
         'settings',
         'table',
@@ -87,9 +94,10 @@
             metrics,
         )
         self.table: RouteTable | None = None
+        self.first_table = Event()
         self.open_requests = 0
         self.leaving = False
-        self.refuses = False
+        self.ends_at: float | None = None
         self.idle_sockets: set[Any] = set()
         self.server = WSGIServer(
             open_listener(settings.callers),
@@ -143,6 +151,7 @@
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self.first_table.set()
         self.log.write(
             'configuration',
             version=table.version,
@@ -186,10 +195,11 @@
         :raises RefusedCall: where it is not forwarded.
         """
         site: CallerHandler = environ[HANDLER_KEY]
+        if self.table is None:
+            self.first_table.wait(FIRST_TABLE_S)
         table = self.table
-        if table is None or self.refuses:
-            kind = Kind.leaving if self.refuses else Kind.not_ready
-            raise RefusedCall(not_run(kind, START_RETRY_AFTER_S))
+        if table is None:
+            raise RefusedCall(not_run(Kind.not_ready, START_RETRY_AFTER_S))
         host = environ.get('HTTP_HOST', '').partition(':')[0]
         sent = sum(len(name) + len(text) for name, text in head.forwarded)
         if sent > table.limits.header_bytes:
@@ -197,6 +207,7 @@
         route = table.match(host, site.path)
         if route is None:
             raise RefusedCall(not_run(Kind.unknown_route))
+        self.check_end(route, head)
         team = find_team(table, route, head)
         body = read_body(environ, table.limits)
         left_s = route.timeout_s
@@ -215,6 +226,17 @@
             began + left_s,
         )
 
+    def check_end(self, route: Route, head: CallHead) -> None:
+        """Refuse what might not end before this process does.
+
+        :raises RefusedCall: while leaving, for such a request.
+        """
+        end = self.ends_at
+        if end is None:
+            return
+        if not ends_in_time(route, head.answer_tokens, boot_time(), end):
+            raise RefusedCall(not_run(Kind.leaving, START_RETRY_AFTER_S))
+
     def service(self, route: Route) -> str:
         """Draw a service by the route's weights.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -273,7 +273,7 @@
         gevent.sleep(ROTATION_S)
         while self.entry.open_requests and boot_time() < end:
             if boot_time() - began > ACCEPT_S:
-                self.entry.refuses = True
+                self.entry.ends_at = end
             gevent.sleep(END_CHECK_S)
         self.close()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
@@ -1,6 +1,8 @@
 """Watch one rank's engine and carry a leader's orders to it."""
 
+from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Protocol
 
 import gevent
@@ -11,11 +13,14 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.rankmail import CountNews, OrderNews
+from comfreyarch_daemon.upstreamcalls import boot_time
 
 # The engine's own sidecar reads it for free; the time is the sidecar's.
 POLL_S = 0.15
 # Counts are read and told so often; demand shifts within some seconds.
 COUNT_S = 0.4
+# Orders without an answer are remembered for so long.
+UNANSWERED_S = 3.0
 # Orders that may wait while the engine does not answer.
 MOST_ORDERS = 4
 
@@ -48,6 +53,7 @@
         'orders',
         'reads',
         'state',
+        'unanswered',
         'waiting',
         'workers',
     )
@@ -74,6 +80,7 @@
         self.fence = 0
         self.lock = BoundedSemaphore(1)
         self.waiting = 0
+        self.unanswered: deque[float] = deque()
         self.workers: list[gevent.Greenlet] = []
 
     def start(self) -> None:
@@ -128,8 +135,15 @@
             )
             self.counts = ()
             self.experts = None
-        self.state = state
-        self.on_state(state, urgent=False)
+        self.take(state, urgent=False)
+
+    def take(self, state: EngineState, *, urgent: bool) -> None:
+        """Take a state that was just read, and add what is known here."""
+        oldest = boot_time() - UNANSWERED_S
+        while self.unanswered and self.unanswered[0] < oldest:
+            self.unanswered.popleft()
+        self.state = replace(state, unanswered=len(self.unanswered))
+        self.on_state(self.state, urgent=urgent)
 
     def count(self) -> None:
         """Read and tell the counts since the last time.
@@ -181,8 +195,7 @@
             finally:
                 self.waiting -= 1
         if state is not None:
-            self.state = state
-            self.on_state(state, urgent=True)
+            self.take(state, urgent=True)
 
     def give(self, news: OrderNews) -> None:
         """Give one order; what became of it shows in the state."""
@@ -192,6 +205,7 @@
                 outcome = 'accepted'
         except EngineAway as error:
             outcome = str(error)
+            self.unanswered.append(boot_time())
         self.metrics.count('orders')
         self.log.write(
             'order',
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankmail.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankmail.py
@@ -103,6 +103,7 @@
         state.pace,
         state.running,
         state.waiting,
+        state.unanswered,
     ]
 
 
--- a/tests/test_map_control.py
+++ b/tests/test_map_control.py
@@ -2,6 +2,7 @@
 
 import copy
 import random
+from dataclasses import replace
 
 import pytest
 from engine_group import Group
@@ -14,6 +15,7 @@
     make_map_control,
 )
 from comfreyarch_core.mapturns import (
+    UNANSWERED,
     ChangeMap,
     Phase,
     Recover,
@@ -281,3 +283,38 @@
         world.report(leader, rank)
     world.act(leader, leader.handle(ChangeMap('newer'), PREPARE_TIMEOUT_S))
     assert holds
+
+
+def test_no_step_is_held_while_orders_go_unanswered():
+    world = calm()
+    leader = world.lead(0)
+    report = world.group.state
+
+    def state(rank):
+        return replace(report(rank), unanswered=int(rank == 2))
+
+    held = []
+    world.group = copy.copy(world.group)
+    world.act(
+        leader,
+        leader.handle(
+            Reported(state(2), world.number + 1),
+            0,
+        ),
+    )
+    world.give = lambda _, send: held.append(send.order)
+    world.act(leader, leader.handle(ChangeMap('new'), 0))
+    assert not held
+
+
+def test_a_change_under_way_ends_before_its_hold():
+    world = calm()
+    leader = world.lead(0)
+    orders = []
+    world.give = lambda _, send: orders.append(send.order)
+    world.act(leader, leader.handle(ChangeMap('new'), 0))
+    assert orders
+    lost = replace(world.group.state(1), unanswered=1)
+    world.act(leader, leader.handle(Reported(lost, world.number + 1), 0.1))
+    assert [one.why for one in world.settled] == [UNANSWERED]
+    assert not any(isinstance(one, HoldStep) for one in orders)
