--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -4,6 +4,7 @@
 it; a stream would queue old messages behind a lost segment.
 """
 
+import zlib
 from collections.abc import Callable
 from typing import Any
 
@@ -15,7 +16,16 @@
 from comfreyarch_daemon.settings import split_address
 
 # What reading a message of another release, or garbage, may raise.
-UNREADABLE = (ValueError, KeyError, TypeError, IndexError, AttributeError)
+UNREADABLE = (
+    ArithmeticError,
+    AttributeError,
+    EOFError,
+    LookupError,
+    TypeError,
+    ValueError,
+    cbor2.CBORError,
+    zlib.error,
+)
 LONGEST_DATAGRAM = 65_000
 # Pause after the system failed to read a datagram.
 RETRY_S = 0.1
--- /dev/null
+++ b/tests/test_fuzz_ports.py
@@ -0,0 +1,114 @@
+"""Garbage on every port: nothing is passed on, nothing ends the node."""
+
+import cbor2
+from direct_world import Quiet, World, answering, parse
+from hypothesis import HealthCheck, given, settings, strategies
+
+from comfreyarch_core.fleetload import make_fleet_load
+from comfreyarch_daemon.datagrams import UNREADABLE, Datagrams
+from comfreyarch_daemon.healthnews import read_health
+from comfreyarch_daemon.peerload import NEWS, PeerLoad
+from comfreyarch_daemon.rankmail import (
+    COUNTS,
+    LEAD,
+    ORDER,
+    STATE,
+    read_counts,
+    read_lead,
+    read_order,
+    read_state,
+)
+
+FUZZ = settings(
+    deadline=None,
+    max_examples=150,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+GOOD = (
+    b'POST /safe/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a\r\n'
+    b'Authorization: Bearer key\r\nConnection: close\r\n'
+    b'Content-Length: 3\r\n\r\nabc'
+)
+VALUES = strategies.recursive(
+    strategies.none()
+    | strategies.integers()
+    | strategies.text(max_size=8)
+    | strategies.booleans()
+    | strategies.binary(max_size=8),
+    lambda inner: (
+        strategies.lists(inner, max_size=8)
+        | strategies.dictionaries(
+            strategies.text(max_size=4), inner, max_size=4
+        )
+    ),
+    max_leaves=20,
+)
+
+
+@FUZZ
+@given(strategies.binary(max_size=400))
+def test_bytes_that_are_no_request_reach_no_upstream(garbage):
+    with World(answering()) as world:
+        received = world.raw(garbage + b'\r\n\r\n\r\n\r\n')
+        assert not received or parse(received)[0] >= 400
+        assert world.runs == 0
+        assert world.call('/safe/')[0] == 200
+
+
+@FUZZ
+@given(
+    strategies.integers(0, len(GOOD) - 1),
+    strategies.binary(min_size=1, max_size=4),
+)
+def test_a_request_with_a_few_other_bytes_runs_once_at_most(place, other):
+    with World(answering()) as world:
+        sent = GOOD[:place] + other + GOOD[place + len(other) :]
+        sock = world.connect()
+        sock.sendall(sent + b'\r\n\r\n')
+        sock.shutdown(1)
+        world.entry.idle(sock, idle=False)
+        assert world.call('/safe/')[0] == 200
+        assert world.runs <= 2
+
+
+def node():
+    """Make the datagram handlers of an entry and a sidecar."""
+    mail = Datagrams('127.0.0.1:0', Quiet())
+    PeerLoad('n', mail, make_fleet_load(), dict, lambda: None, Quiet())
+    for tag, reader in (
+        ('health', read_health),
+        (STATE, read_state),
+        (COUNTS, read_counts),
+        (ORDER, read_order),
+        (LEAD, read_lead),
+    ):
+        mail.handlers[tag] = lambda message, _, reader=reader: reader(message)
+    return mail
+
+
+@FUZZ
+@given(strategies.binary(max_size=200))
+def test_datagrams_of_any_bytes_are_dropped(garbage):
+    mail = node()
+    try:
+        mail.take(garbage, 'x:1')
+    except UNREADABLE:
+        pass
+    finally:
+        mail.close()
+
+
+@FUZZ
+@given(
+    strategies.sampled_from((NEWS, 'health', STATE, COUNTS, ORDER, LEAD)),
+    strategies.lists(VALUES, max_size=18),
+)
+def test_messages_with_any_fields_are_taken_or_dropped(tag, fields):
+    mail = node()
+    try:
+        mail.take(cbor2.dumps([tag, *fields]), 'x:1')
+    except UNREADABLE:
+        pass
+    finally:
+        mail.close()
