Bar requests that crash each upstream that runs them

Cause: a request that crashes upstreams was bounded by its route's attempts only, and every entry met it anew. An entry now remembers requests whose connection broke, counts a crash where that upstream then refuses connections or is listed no more, tells the other entries, and bars the request after three. Any answer to the same request clears it.

Ruled out: the desk of the product's own sidecars (it runs a suspect alone, which needs one queue an upstream).

--- a/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
@@ -30,6 +30,7 @@
     store_down = 'store_down'
     leaving = 'leaving'
     quarantined = 'quarantined'
+    crashes_upstreams = 'crashes_upstreams'
     not_ready = 'not_ready'
     retry_budget = 'retry_budget'
     too_large = 'too_large'
@@ -56,6 +57,10 @@
     Kind.store_down: (503, 'come back when the store is up'),
     Kind.leaving: (503, 'send again: another upstream takes it'),
     Kind.quarantined: (422, 'change the request: it crashes upstreams'),
+    Kind.crashes_upstreams: (
+        503,
+        'change the request: upstreams that ran it crashed',
+    ),
     Kind.not_ready: (503, 'come back once the node has a configuration'),
     Kind.retry_budget: (503, 'come back after the wait'),
     Kind.too_large: (413, 'send a smaller body'),
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashnews.py
@@ -0,0 +1,110 @@
+"""Keep an entry's crash guard, and share what it finds with the others."""
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from comfreyarch_core.crashguard import (
+    Answered,
+    Broke,
+    CrashGuard,
+    Died,
+    Message,
+    Told,
+    make_crash_guard,
+)
+from comfreyarch_daemon.datagrams import Datagrams
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+CRASHES = 'crashes'
+# Requests that are told again with each repetition, newest first: entries
+# that started later need them, and datagrams are lost at times.
+REPEATED = 20
+
+
+class CrashNews:
+    """Own the crash guard of an entry.
+
+    :param peers: gives the addresses of the other entries.
+    """
+
+    __slots__ = ('datagrams', 'guard', 'log', 'peers')
+
+    def __init__(self, log: EventLog) -> None:
+        """Follow nothing; nobody is told before ``share``."""
+        self.log = log
+        self.guard: CrashGuard = make_crash_guard()
+        self.datagrams: Datagrams | None = None
+        self.peers: Callable[[], Iterable[str]] = tuple
+
+    def share(
+        self,
+        datagrams: Datagrams,
+        peers: Callable[[], Iterable[str]],
+    ) -> None:
+        """Tell the other entries from now on, and hear them."""
+        self.datagrams = datagrams
+        self.peers = peers
+        datagrams.handlers[CRASHES] = self.heard
+
+    @property
+    def idle(self) -> bool:
+        """Tell whether no request is followed.
+
+        :returns: True nearly always; digests need not be made then.
+        """
+        return not self.guard.known and not self.guard.breaks
+
+    def barred(self, digest: str) -> bool:
+        """Tell whether a request may not be sent.
+
+        :returns: True once it crashed several upstreams.
+        """
+        return self.guard.barred(digest, boot_time())
+
+    def broke(self, digest: str, upstream: str) -> None:
+        """Note that a request broke at an upstream."""
+        self.take(Broke(digest, upstream))
+
+    def answered(self, digest: str) -> None:
+        """Note that an upstream answered a request."""
+        self.take(Answered(digest))
+
+    def died(self, upstream: str) -> None:
+        """Note that an upstream is dead."""
+        if self.guard.breaks:
+            self.take(Died(upstream))
+
+    def take(self, message: Message) -> None:
+        """Let the guard decide; log and tell what is new."""
+        for news in self.guard.handle(message, boot_time()):
+            self.log.write(
+                'crash_suspect',
+                digest=news.digest,
+                upstreams=sorted(news.upstreams),
+                barred=news.barred,
+            )
+            self.tell(news.digest, news.upstreams)
+
+    def repeat(self) -> None:
+        """Tell the newest findings again."""
+        for digest in list(self.guard.known)[-REPEATED:]:
+            self.tell(digest, self.guard.known[digest].upstreams)
+
+    def tell(self, digest: str, upstreams: Iterable[str]) -> None:
+        """Tell the other entries of one request."""
+        if self.datagrams is None:
+            return
+        message = [CRASHES, digest, sorted(upstreams)]
+        for address in self.peers():
+            self.datagrams.send(message, address)
+
+    def heard(self, message: list[Any], _address: str) -> None:
+        """Take what another entry found.
+
+        :raises ValueError: where it is malformed.
+        """
+        digest, upstreams = message[1:3]
+        if not isinstance(digest, str) or not isinstance(upstreams, list):
+            raise ValueError('no digest and upstreams')
+        self.take(Told(digest, frozenset(map(str, upstreams))))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -162,9 +162,14 @@
     def listed(self, entries: Iterable[UpstreamEntry]) -> None:
         """Take the present upstreams."""
         kept = list(entries)
+        names = {entry.name for entry in kept}
+        views = self.forwarder.placer.views
+        for name in views.keys() - names:
+            if not views[name].entry.leaving:
+                self.forwarder.crashes.died(name)
         self.forwarder.placer.know(kept)
         self.dispatcher.pump()
-        self.forwarder.pool.keep_only({entry.name for entry in kept})
+        self.forwarder.pool.keep_only(names)
 
     def ready(self) -> bool:
         """Tell whether new callers should come here.
@@ -213,7 +218,7 @@
         left_s = route.timeout_s
         if head.left_s is not None:
             left_s = min(left_s, head.left_s)
-        return Call(
+        call = Call(
             site.command,
             site.path,
             body,
@@ -225,6 +230,10 @@
             began,
             began + left_s,
         )
+        crashes = self.forwarder.crashes
+        if not crashes.idle and crashes.barred(call.digest()):
+            raise RefusedCall(not_run(Kind.crashes_upstreams, left_s))
+        return call
 
     def check_end(self, route: Route, head: CallHead) -> None:
         """Refuse what might not end before this process does.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -131,6 +131,10 @@
         self.peer_load.tables = self.table_versions
         self.peer_load.on_tables = self.compare_tables
         self.datagrams.handlers[HEALTH] = self.heard_health
+        self.entry.forwarder.crashes.share(
+            self.datagrams,
+            self.peer_load.peers.values,
+        )
         self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -194,6 +198,7 @@
             ticks += 1
             if ticks % HELLO_TICKS == 0:
                 self.greet()
+                self.entry.forwarder.crashes.repeat()
             self.upstreams.tick()
             self.entry.forwarder.pool.trim()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -1,5 +1,6 @@
 """Hold what all requests share that go to upstreams directly."""
 
+import hashlib
 import random
 from dataclasses import dataclass
 
@@ -10,6 +11,7 @@
     make_retry_share,
 )
 from comfreyarch_core.routetable import Route
+from comfreyarch_daemon.crashnews import CrashNews
 from comfreyarch_daemon.dialect import CallHead, Dialect, Headers
 from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.eventlog import EventLog
@@ -18,6 +20,7 @@
 
 # Entries to share the retry budget with before they were counted.
 UNCOUNTED_ENTRIES = 32
+DIGEST_BYTES = 12
 
 
 class GaveUp(Exception):
@@ -51,6 +54,17 @@
     began: float
     deadline: float
 
+    def digest(self) -> str:
+        """Name the request by what stays when it comes again.
+
+        :returns: a digest of its team, method, target and body.
+        """
+        digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+        for part in (self.team, self.method, self.target):
+            digest.update(f'{len(part)}:{part}'.encode())
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 @dataclass(frozen=True, slots=True)
 class Begin:
@@ -71,9 +85,11 @@
     """Forward requests and follow their sends.
 
     :param entries: how many entries share the retry budget.
+    :param crashes: requests that crash upstreams.
     """
 
     __slots__ = (
+        'crashes',
         'dialect',
         'dispatcher',
         'entries',
@@ -102,6 +118,7 @@
         self.log = log
         self.metrics = metrics
         self.pool = ConnectionPool()
+        self.crashes = CrashNews(log)
         self.shares: dict[str, RetryShare] = {}
         self.entries = UNCOUNTED_ENTRIES
         self.source: random.Random = self.placer.source
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestwork.py
@@ -135,6 +135,9 @@
         if send.head is not None and send.head.keep_s is not None:
             send.connection.keep_s = send.head.keep_s
         self.forwarder.placer.succeeded(send.name)
+        crashes = self.forwarder.crashes
+        if not crashes.idle:
+            crashes.answered(self.call.digest())
         self.forwarder.pool.give_back(send.name, send.connection)
         self.forwarder.dispatcher.release(send.view)
 
@@ -466,8 +469,12 @@
                 placer.replaced(name, now)
             case Ending.failed:
                 placer.erred(name)
+            case Ending.unreachable:
+                placer.failed(name, now)
+                self.forwarder.crashes.died(name)
             case _:
                 placer.failed(name, now)
+                self.forwarder.crashes.broke(self.call.digest(), name)
 
     def end_failed(self, why: str) -> None:
         """End the request without a further send."""
