--- a/soak/checks.py
+++ b/soak/checks.py
@@ -100,9 +100,10 @@
         over_attempts,
     )
     bounded = (lost_in_planned_work, old_configuration, sent_to_leaving)
+    promises = (*always, *bounded) if timed else always
     return [
         f'{promise.__name__}: {line}'
-        for promise in always + (bounded if timed else ())
+        for promise in promises
         for line in promise(evidence)
     ]
 
