Arm a witness before the own rank: a silent leader seldom keeps its group

Change: one other rank is armed after all the rest are confirmed, and the own rank after that. Costs two round trips before a step that lies 0.25 s ahead.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -8,8 +8,8 @@
 further map is prepared everywhere, which makes late orders for the abandoned
 one impossible; then the step is released under the old map.
 
-A leader arms its own rank last. Where another rank turns out not to have been
-armed, the silent rank of the leader directly before was not armed either, and
+A leader arms its own rank last, and another one right before it. Where any
+other rank turns out not to have been armed, the silent rank of the leader directly before was not armed either, and
 a recovery need not wait for it.
 
 Late orders are harmless: versions only rise and hold the leader's fence,
@@ -339,13 +339,27 @@
         if self.is_late(now) or self.unprepared(self.version):
             return self.begin_abort('not armed', now)
         order = ArmMap(self.version, self.step)
-        others = [rank for rank in waiting if rank != self.own]
         return [
             outcome
-            for rank in others or waiting
+            for rank in self.next_to_arm(waiting)
             for outcome in self.order(rank, order, now)
         ]
 
+    def next_to_arm(self, waiting: list[int]) -> list[int]:
+        """Choose whom to arm next: a witness after the others, own rank last.
+
+        Should this leader fall silent meanwhile, a witness that was not armed
+        shows that the own rank was not armed either.
+
+        :returns: some of the ranks that wait.
+        """
+        witness = (self.own + 1) % self.size
+        last = {self.own, witness}
+        others = [rank for rank in waiting if rank not in last]
+        return (
+            others or [rank for rank in waiting if rank != self.own] or waiting
+        )
+
     def is_late(self, now: float) -> bool:
         """Tell whether arming takes too long.
 
