--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -509,10 +509,9 @@
     return (
         state.epoch,
         state.version,
-        state.prepared,
+        (state.prepared, state.copying),
         state.armed,
         state.held,
-        state.copying,
     )
 
 
