--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -252,7 +252,9 @@
             self.phase = Phase.idle
             return [Settled(None, 'not prepared')]
         order = PrepareMap(self.version, self.target)
-        if self.own in waiting and not self.has_begun():
+        begun = self.states[self.own].copying == self.version
+        if self.own in waiting and not begun:
+            # An older switch may still be armed there.
             return self.order(self.own, order, now)
         return [
             outcome
@@ -260,13 +262,6 @@
             for outcome in self.order(rank, order, now, PREPARE_REPEAT_S)
         ]
 
-    def has_begun(self) -> bool:
-        """Tell whether the own engine began to prepare this leader's map.
-
-        :returns: False while an older switch may still be armed there.
-        """
-        return self.states[self.own].copying == self.version
-
     def switching(self) -> bool:
         """Tell whether all ranks are armed alike and nothing holds them.
 
