--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -2,16 +2,18 @@
 
 The leader first puts a hold of its own on a step some way ahead, at a rank
 that no other leader uses for that; not its own, whose engine answers nobody
-while the leader's machine stands still. Before that step it arms all ranks, and releases the step only once all
-are armed for it, so the group pauses only where that takes longer than the
-passes before the step. If one cannot be confirmed, all are disarmed, and a
-further map is prepared everywhere, which makes late orders for the abandoned
-one impossible; then the step is released under the old map.
-
-A leader lets its own rank prepare first, which voids older orders there, arms it
-last, and another one right before it; it takes its arming back first. So where a rank holds a map that the leader
-directly before had prepared, and was never armed, that leader's own rank is
-not armed either, and a recovery need not wait for it.
+while the leader's machine stands still. Before that step it arms all ranks,
+and releases the step only once all are armed for it, so the group pauses only
+where that takes longer than the passes before the step. If one cannot be
+confirmed, all are disarmed, and a further map is prepared everywhere, which
+makes late orders for the abandoned one impossible; then the step is released
+under the old map.
+
+A leader lets its own rank prepare first, which voids older orders there, arms
+it last, and another one right before it; it takes its arming back first. So
+where a rank holds a map that the leader directly before had prepared, and was
+never armed, that leader's own rank is not armed either, and a recovery need
+not wait for it.
 
 Late orders are harmless: versions only rise and hold the leader's fence,
 an armed switch is refused once its step began or its map was replaced, and
