Split the map's leader and share the start of both nodes

mapevidence holds what is read from ranks' states, leadership who leads, running the start, signals and end that directnode and ranknode wrote twice. Moves only, but one: an entry whose address is taken now ends with the message and exit 2 of a sidecar instead of a traceback.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -27,7 +27,6 @@
 from comfreyarch_core.enginestate import (
     ArmedSwitch,
     ArmMap,
-    DisarmMap,
     EngineOrder,
     EngineState,
     GroupMap,
@@ -35,6 +34,14 @@
     PrepareMap,
     ReleaseStep,
 )
+from comfreyarch_core.mapevidence import (
+    MAPS_A_FENCE,
+    find_witnesses,
+    highest_version,
+    next_to_arm,
+    order_facts,
+    undo,
+)
 from comfreyarch_core.mapturns import (
     DEPOSED,
     NOT_HELD,
@@ -49,8 +56,6 @@
     Settled,
 )
 
-# Maps that one leader may prepare; its fence stands above this factor.
-MAPS_A_FENCE = 100_000
 # A copy that takes longer is given up; a link copies an expert in 50 ms.
 PREPARE_TIMEOUT_S = 3.0
 # All ranks answer within some ms; lost orders are repeated meanwhile.
@@ -460,67 +465,6 @@
         return None if held and not orders else orders
 
 
-def next_to_arm(waiting: list[int], own: int, size: int) -> list[int]:
-    """Choose whom to arm next: a witness after the others, own rank last.
-
-    :param waiting: ranks that are not armed.
-    :returns: some of them.
-    """
-    witness = (own + 1) % size
-    others = [rank for rank in waiting if rank not in {own, witness}]
-    return others or [rank for rank in waiting if rank != own] or waiting
-
-
-def find_witnesses(
-    states: dict[int, EngineState],
-    absent: AbsentLeader,
-) -> set[int]:
-    """Find the ranks that hold an absent leader's map and are not armed.
-
-    :returns: the ranks, some of which may turn out to be armed yet.
-    """
-    lowest = absent.fence * MAPS_A_FENCE
-    return {
-        rank
-        for rank, state in states.items()
-        if rank != absent.rank
-        and state.armed is None
-        and lowest < (state.prepared or 0) < lowest + MAPS_A_FENCE
-    }
-
-
-def undo(state: EngineState, fallback: PrepareMap) -> EngineOrder:
-    """Choose the order that takes a rank nearer to rest.
-
-    :returns: a disarming, or the map that replaces what was prepared.
-    """
-    armed = state.armed
-    return fallback if armed is None else DisarmMap(armed.version)
-
-
-def order_facts(state: EngineState) -> tuple[object, ...]:
-    """Give what an order changes at a rank.
-
-    :returns: the facts; steps and requests go on without orders.
-    """
-    return (
-        state.epoch,
-        state.version,
-        (state.prepared, state.copying),
-        state.armed,
-        state.held,
-    )
-
-
-def highest_version(state: EngineState) -> int:
-    """Give the highest version that a rank shows.
-
-    :returns: the highest of those in use, prepared and armed.
-    """
-    armed = 0 if state.armed is None else state.armed.version
-    return max(armed, state.prepared or 0, state.version)
-
-
 def make_map_control(fence: int, own: int, size: int) -> MapControl:
     """Make the leader of a group.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -1,8 +1,5 @@
 """Run a direct entry: its tables, addresses, signals and end."""
 
-import gc
-import signal
-import sys
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +17,7 @@
 )
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.peerload import PeerLoad
+from comfreyarch_daemon.running import Running, run_node
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.settingsfile import SettingsFile
 from comfreyarch_daemon.smallpages import MetricsPage, ReadinessPage, serve
@@ -37,8 +35,6 @@
 )
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-EXIT_SETTINGS = 2
-GC_THRESHOLDS = (20_000, 20, 20)
 # How often lapsed entries, idle connections and the settings are looked at.
 TICK_S = 0.5
 HELLO_TICKS = int(HELLO_S / TICK_S)
@@ -288,14 +284,9 @@
 
     :param path: the platform's settings file.
     """
-    gc.set_threshold(*GC_THRESHOLDS)
-    try:
+
+    def build() -> Running:
         node = DirectNode(adapter, path)
-    except (SettingsError, OSError) as error:
-        sys.stderr.write(f'comfreyarch: {error}\n')
-        sys.exit(EXIT_SETTINGS)
-    gevent.signal_handler(signal.SIGTERM, node.terminate)
-    gevent.signal_handler(signal.SIGINT, node.terminate)
-    gevent.signal_handler(signal.SIGHUP, node.reload)
-    node.start()
-    node.stopped.wait()
+        return Running(node.start, node.terminate, node.reload, node.stopped)
+
+    run_node(build)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -2,8 +2,7 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import dataclass, replace
-from typing import Protocol
+from dataclasses import replace
 
 import gevent
 
@@ -15,8 +14,8 @@
     ReleaseStep,
 )
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
-from comfreyarch_core.mapplan import MapLimits, PlannedMap, plan_map
-from comfreyarch_core.mappressure import GroupFigures, make_pressure
+from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.mappressure import make_pressure
 from comfreyarch_core.mapturns import (
     DEPOSED,
     NOT_HELD,
@@ -33,6 +32,7 @@
 from comfreyarch_daemon.engineapi import EngineApi, EngineAway
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.groupfacts import GroupFacts
+from comfreyarch_daemon.leadership import LeaderRow, Leadership, MapRules
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.rankmail import CountNews, OrderNews, StateNews
 from comfreyarch_daemon.tablewatch import StoreAway
@@ -62,66 +62,6 @@
 SILENT_S = 0.4
 
 
-@dataclass(frozen=True, slots=True)
-class Term:
-    """Say who led a group in one of its epochs.
-
-    :param address: where the leader's sidecar takes datagrams.
-    """
-
-    address: str
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderRow:
-    """Say who leads a group; the fence is 0 where nobody does.
-
-    :param terms: the last terms, the present one first.
-    """
-
-    fence: int
-    terms: tuple[Term, ...] = ()
-
-    @property
-    def address(self) -> str:
-        """Give the present leader's address.
-
-        :returns: an empty text where nobody leads.
-        """
-        return self.terms[0].address if self.terms else ''
-
-
-class Leadership(Protocol):
-    """Keep who leads a group; a platform's adapter fills it."""
-
-    def read(self, group: str) -> LeaderRow:
-        """Read who leads a group.
-
-        :raises StoreAway: where the store does not answer.
-        """
-
-    def claim(
-        self,
-        group: str,
-        term: Term,
-        former: LeaderRow,
-    ) -> int | None:
-        """Become the leader after another one.
-
-        :returns: the new fence, None where another was faster.
-        :raises StoreAway: where the store does not say which.
-        """
-
-
-@dataclass(frozen=True, slots=True)
-class MapRules:
-    """Hold what the maps of a group must keep to, and what it should reach."""
-
-    limits: MapLimits
-    figures: GroupFigures
-
-
 class MapLeader:
     """Own one term of leading a group.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -1,8 +1,5 @@
 """Run the sidecar of a rank: its agent, and the group's leader at times."""
 
-import gc
-import signal
-import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -16,13 +13,8 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthnews import HELLO
 from comfreyarch_daemon.healthteller import HealthTeller
-from comfreyarch_daemon.mapleader import (
-    READINGS_A_SECOND,
-    LeaderRow,
-    MapLeader,
-    MapRules,
-    Term,
-)
+from comfreyarch_daemon.leadership import LeaderRow, MapRules, Term
+from comfreyarch_daemon.mapleader import READINGS_A_SECOND, MapLeader
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.rankagent import RankAgent
 from comfreyarch_daemon.rankmail import (
@@ -44,14 +36,13 @@
     write_state,
 )
 from comfreyarch_daemon.ranksettings import RankAdapter
+from comfreyarch_daemon.running import Running, run_node
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.settingsfile import SettingsFile
 from comfreyarch_daemon.smallpages import MetricsPage, serve
 from comfreyarch_daemon.tablewatch import StoreAway
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-EXIT_SETTINGS = 2
-GC_THRESHOLDS = (20_000, 20, 20)
 # A leader tells that it lives; ranks follow another one after a silence,
 # the lowest first.
 LEAD_S = 0.15
@@ -483,14 +474,9 @@
 
 def run_sidecar(adapter: RankAdapter, path: Path) -> None:
     """Run a rank's sidecar until a signal stops it."""
-    gc.set_threshold(*GC_THRESHOLDS)
-    try:
+
+    def build() -> Running:
         node = RankNode(adapter, path)
-        node.start()
-    except (SettingsError, OSError) as error:
-        sys.stderr.write(f'comfreyarch: {error}\n')
-        sys.exit(EXIT_SETTINGS)
-    gevent.signal_handler(signal.SIGTERM, node.close)
-    gevent.signal_handler(signal.SIGINT, node.close)
-    gevent.signal_handler(signal.SIGHUP, node.reload)
-    node.stopped.wait()
+        return Running(node.start, node.close, node.reload, node.stopped)
+
+    run_node(build)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
@@ -5,7 +5,7 @@
 from pathlib import Path
 
 from comfreyarch_daemon.engineapi import EngineApi
-from comfreyarch_daemon.mapleader import Leadership, MapRules
+from comfreyarch_daemon.leadership import Leadership, MapRules
 from comfreyarch_daemon.peerload import Peers
 
 
