Measure the age of what an entry knows of each table

Each answer of the store now confirms the table at one moment: the start of the call, or the end of a poll in which nothing changed. The age is a gauge (configuration_age_s, upstreams_age_s), and crossing 2 s, the users' bound on a configuration, is logged: table_unconfirmed with the age, the version and whether the store counts as reachable, and table_confirmed. A stored configuration that is not applied because it is older is logged as configuration_older (hypothesis 3). explain shows both table events.

On an undisturbed table the age also reaches 20 s, the time of a long poll: no logic has changed yet.

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
@@ -25,6 +25,8 @@
         'store_back',
         'store_lost',
         'table_behind',
+        'table_confirmed',
+        'table_unconfirmed',
         'upstream_listed',
         'upstream_removed',
         'upstreams_lapsed',
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -162,6 +162,11 @@
     def apply_configuration(self, table: RouteTable) -> None:
         """Apply a configuration if it is newer than the one in force."""
         if self.table is not None and table.version <= self.table.version:
+            self.log.write(
+                'configuration_older',
+                version=table.version,
+                in_force=self.table.version,
+            )
             return
         self.table = table
         self.first_table.set()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -220,6 +220,8 @@
                 self.send_hello()
                 self.entry.forwarder.crash_guard.resend_suspects()
             self.upstreams.tick()
+            for watch in self.watches:
+                watch.report_age()
             self.entry.forwarder.pool.trim()
 
     def refresh_peers(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from comfreyarch_core.tablefreshness import make_table_freshness
 from comfreyarch_core.tabletracker import (
     Change,
     TableState,
@@ -12,6 +13,7 @@
 )
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Long-poll timeout. Store calls are priced, so it is long; dead connections
 # are detected sooner by TCP keepalive probes.
@@ -78,6 +80,7 @@
 class TableWatch:
     """Watch one table and pass its changes to a listener.
 
+    :param freshness: when the knowledge of the table was last confirmed.
     :param is_interrupted: set by ``interrupt``; the next call is then a probe.
     :param is_unreachable: whether the store did not answer the last call.
     :param newest_version: version of the newest row seen.
@@ -85,6 +88,7 @@
     """
 
     __slots__ = (
+        'freshness',
         'is_interrupted',
         'is_unreachable',
         'jitter_source',
@@ -114,6 +118,7 @@
         self.log = log
         self.metrics = metrics
         self.tracker = make_table_tracker()
+        self.freshness = make_table_freshness()
         self.is_unreachable = False
         self.is_interrupted = False
         self.newest_version = 0
@@ -155,16 +160,20 @@
         if self.tracker.needs_full_read:
             self.read()
             return
+        is_probe = self.is_unreachable or self.is_interrupted
+        self.is_interrupted = False
+        wait_s = PROBE_TIMEOUT_S if is_probe else POLL_TIMEOUT_S
+        started_at = boot_time()
         try:
-            is_probe = self.is_unreachable or self.is_interrupted
-            self.is_interrupted = False
-            wait_s = PROBE_TIMEOUT_S if is_probe else POLL_TIMEOUT_S
             state = self.table.changes(self.tracker.version, wait_s)
         except HistoryGone:
             self.log.write('history_gone', table=self.name)
             self.tracker.mark_history_lost()
             return
+        waited_until = started_at + wait_s
+        is_unchanged = not state.rows and boot_time() >= waited_until
         self.mark_reachable()
+        self.freshness.confirm(waited_until if is_unchanged else started_at)
         self.record_newest(state)
         change = self.tracker.changed(state)
         if change.rows or change.removed:
@@ -196,6 +205,7 @@
 
         :raises StoreCallFailed: if the store does not answer.
         """
+        started_at = boot_time()
         state = self.table.read()
         change = self.tracker.read(state)
         if change is None:
@@ -208,6 +218,7 @@
             gevent.sleep(STALE_RETRY_S)
             return
         self.mark_reachable()
+        self.freshness.confirm(started_at)
         self.record_newest(state)
         self.listener.apply_change(change)
 
@@ -216,6 +227,28 @@
         versions = [row.version for row in state.rows]
         self.newest_version = max([self.newest_version, *versions])
 
+    def report_age(self) -> None:
+        """Publish the age of the table, and log when it crosses its limit."""
+        now = boot_time()
+        age_s = self.freshness.age_s(now)
+        if age_s is None:
+            return
+        self.metrics.gauge(f'{self.name}_age_s', age_s)
+        if self.freshness.became_stale(now):
+            self.log.write(
+                'table_unconfirmed',
+                table=self.name,
+                age_s=round(age_s, 3),
+                known=self.tracker.version,
+                reachable=not self.is_unreachable,
+            )
+        elif self.freshness.became_fresh(now):
+            self.log.write(
+                'table_confirmed',
+                table=self.name,
+                known=self.tracker.version,
+            )
+
     def mark_reachable(self) -> None:
         """Record that the store answered, and report the end of an outage."""
         self.retry_s = FIRST_RETRY_S
