--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -1,4 +1,4 @@
-"""Run a direct entry: its table watches, servers, peers and shutdown."""
+"""Run a direct entry: its tables, servers, peers and shutdown."""
 
 from pathlib import Path
 from typing import Any
@@ -30,12 +30,11 @@
     EntryAdapter,
     UpstreamsListener,
 )
+from comfreyarch_daemon.tablesync import TableSync
 from comfreyarch_daemon.tablewatch import (
     FIRST_RETRY_S,
     LONGEST_RETRY_S,
     StoreCallFailed,
-    TableSource,
-    TableWatch,
 )
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -50,9 +49,6 @@
 ACCEPT_ALL_S = 3.0
 # Interval at which a draining entry checks for open requests.
 DRAIN_CHECK_INTERVAL_S = 0.05
-# Time that a table may lag behind that of another entry before its long poll
-# is interrupted.
-MAX_TABLE_LAG_S = 0.6
 # Interval for listing entries and sidecars in the store; entries also learn
 # about new peers from their datagrams.
 PEER_LIST_INTERVAL_S = 60.0
@@ -61,7 +57,7 @@
 
 
 class DirectNode:
-    """Own a direct entry with its servers, watches and background tasks.
+    """Own a direct entry with its servers, tables and background tasks.
 
     :param sidecars: addresses of the known sidecars.
     :param stopping: whether a graceful shutdown has begun.
@@ -84,8 +80,8 @@
         'sidecars',
         'stopped',
         'stopping',
+        'tables',
         'upstreams',
-        'watches',
         'workers',
     )
 
@@ -105,18 +101,15 @@
         )
         self.upstreams = UpstreamsListener(adapter, self.entry)
         configurations = ConfigurationListener(adapter, self.entry)
-        self.watches = [
-            self.make_watch(
-                'configuration',
-                adapter.open_configuration(settings),
-                configurations,
-            ),
-            self.make_watch(
-                'upstreams',
-                adapter.open_upstreams(settings),
-                self.upstreams,
-            ),
-        ]
+        self.tables = TableSync(self.log, self.metrics)
+        self.tables.add(
+            'configuration',
+            adapter.open_configuration(settings),
+            configurations,
+        )
+        self.tables.add(
+            'upstreams', adapter.open_upstreams(settings), self.upstreams
+        )
         self.http_servers = [
             make_page_server(
                 settings.readiness,
@@ -137,8 +130,8 @@
             self.log,
         )
         dispatcher.on_load_change = self.load_gossip.load_changed.set
-        self.load_gossip.read_table_versions = self.table_versions
-        self.load_gossip.on_table_versions = self.poll_stale_tables
+        self.load_gossip.read_table_versions = self.tables.versions
+        self.load_gossip.on_table_versions = self.tables.handle_versions
         self.datagrams.handlers[HEALTH] = self.update_health
         self.entry.forwarder.crash_guard.share(
             self.datagrams,
@@ -150,43 +143,13 @@
         self.settings_file = SettingsFileWatcher(path, self.reload)
         self.stopping = False
 
-    def make_watch(
-        self,
-        name: str,
-        table: TableSource,
-        listener: Any,
-    ) -> TableWatch:
-        """Create the watch of a table.
-
-        :returns: the watch, not yet started.
-        """
-        return TableWatch(name, table, listener, self.log, self.metrics)
-
-    def table_versions(self) -> dict[str, int]:
-        """Return the version of the newest known row of each table.
-
-        :returns: versions by table name.
-        """
-        return {watch.name: watch.newest_version for watch in self.watches}
-
-    def poll_stale_tables(self, versions: dict[str, int]) -> None:
-        """Interrupt the long polls of tables of which a peer knows a newer row.
-
-        Each is interrupted after the lag allowed, unless it then has the row.
-        """
-        for watch in self.watches:
-            newest = versions.get(watch.name, 0)
-            if newest > watch.tracker.version:
-                gevent.spawn_later(MAX_TABLE_LAG_S, watch.interrupt, newest)
-
     def start(self) -> None:
         """Start all components."""
         self.log.write('start', settings=str(self.path))
         for server in self.http_servers:
             server.start()
         self.entry.start()
-        for watch in self.watches:
-            watch.start()
+        self.tables.start()
         self.datagrams.start()
         self.load_gossip.start()
         self.settings_file.start()
@@ -202,8 +165,7 @@
         self.settings_file.close()
         self.load_gossip.close()
         self.datagrams.close()
-        for watch in self.watches:
-            watch.close()
+        self.tables.close()
         self.entry.close()
         for server in self.http_servers:
             server.stop_accepting()
@@ -220,8 +182,7 @@
                 self.send_hello()
                 self.entry.forwarder.crash_guard.resend_suspects()
             self.upstreams.tick()
-            for watch in self.watches:
-                watch.report_age()
+            self.tables.report_ages()
             self.entry.forwarder.pool.trim()
 
     def refresh_peers(self) -> None:
