Draw the pauses of a table watch differently on each node

The jitter was seeded with the name of the table alone, so all nodes drew the same pauses and called the store in step after an outage: the jitter spread nothing. The seed now holds the node as well. The new test fails on the former code (1 failed).

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -123,7 +123,8 @@
         self.is_interrupted = False
         self.newest_version = 0
         self.retry_s = FIRST_RETRY_S
-        self.jitter_source = random.Random(name)
+        # Nodes must not call in step, so the seed differs between them.
+        self.jitter_source = random.Random(f'{log.node}/{name}')
         self.worker: gevent.Greenlet | None = None
 
     def start(self) -> None:
--- a/tests/test_table_watch.py
+++ b/tests/test_table_watch.py
@@ -187,3 +187,14 @@
     )
     assert recorded == ['lost', 'back', (['a'], [])]
     assert script.calls[:3] == ['read'] * 3
+
+
+# Fails if all nodes repeat calls to a store in step after an outage.
+def test_nodes_draw_different_pauses():
+    draws = set()
+    for node in ('entry-1', 'entry-2'):
+        watch = TableWatch(
+            't', ScriptedTable(), RecordingListener(), EventLog(node), Metrics()
+        )
+        draws.add(watch.jitter_source.random())
+    assert len(draws) == 2
