Bound the age of what an entry knows of a table by probes

Cause: an entry waits for changes in one long poll of 20 s. A poll that is under way when the store falls silent is never answered, which looks like a table that does not change, and the other entries, which could tell of newer rows, are blind in the same way. The class of fault: knowledge without a known age.

Now an answer confirms a table at one moment. If neither an own answer nor a peer has confirmed a table for 0.8 s plus a random 0 to 0.4 s, the entry asks the store on a new connection, and sends the confirmation to its peers with the load that they exchange anyway; those that know as much need not ask. So the age is bounded for each entry, by about the calls of one entry. Changes that a probe finds end the poll that should have brought them. Two probes without an answer mean that the store is lost. A process that did not run does not trust messages that may have waited (frozen instances).

Failed first: entries sent on the age that a peer had confirmed. Each message lost its own delay, so two entries kept each other's knowledge young, and the store was not found lost in 5 s of silence. Only own answers are sent now (test_entries_do_not_keep_each_other_confirmed, failed before).

The long poll waits 28 s instead of 20 s, as it no longer has to show a dead connection.

--- a/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
@@ -7,6 +7,8 @@
 
 from dataclasses import dataclass, field
 
+from comfreyarch_core.tablefreshness import Confirmation
+
 # Counts of an entry that has not been heard from for this time are dropped.
 COUNTS_TIMEOUT_S = 1.5
 # An entry that has not been heard from for this time is sent to less often.
@@ -23,6 +25,7 @@
     :param counts: requests in flight by upstream, zeros left out.
     :param waiting: requests that wait at the entry, by service.
     :param tables: version of the newest known row, by table.
+    :param confirmations: age of what is known, by table.
     """
 
     node: str
@@ -31,6 +34,7 @@
     counts: dict[str, int]
     waiting: dict[str, int] = field(default_factory=dict)
     tables: dict[str, int] = field(default_factory=dict)
+    confirmations: dict[str, Confirmation] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
@@ -55,6 +55,8 @@
     """Track the known row versions of a table.
 
     :param version: the store's version up to which changes are known.
+    :param floor: version of the latest known change, or of the last full read
+        if that is later: it may have missed rows that were removed before.
     :param rows: versions of the known rows, by key.
     :param tombstones: versions at which recently removed keys were removed.
     :param needs_full_read: whether the table must be read in full before
@@ -62,6 +64,7 @@
     """
 
     version: int = -1
+    floor: int = -1
     rows: dict[str, int] = field(default_factory=dict)
     tombstones: dict[str, int] = field(default_factory=dict)
     needs_full_read: bool = True
@@ -75,6 +78,7 @@
             return None
         self.needs_full_read = False
         self.version = state.version
+        self.floor = state.version
         present = {row.key for row in state.rows}
         removed = tuple(sorted(self.rows.keys() - present))
         for key in removed:
@@ -119,6 +123,7 @@
             known = self.rows.get(row.key, self.tombstones.get(row.key, -1))
             if row.version > known:
                 self.rows[row.key] = row.version
+                self.floor = max(self.floor, row.version)
                 accepted.pop(row.key, None)
                 accepted[row.key] = row
         return tuple(accepted.values())
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -1,11 +1,13 @@
 """Run a direct entry: its tables, servers, peers and shutdown."""
 
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 import gevent
 from gevent.event import Event
 
+from comfreyarch_core.fleetload import EntryLoad
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.directentry import DirectEntry
 from comfreyarch_daemon.eventlog import EventLog
@@ -104,11 +106,13 @@
         self.tables = TableSync(self.log, self.metrics)
         self.tables.add(
             'configuration',
-            adapter.open_configuration(settings),
+            partial(adapter.open_configuration, settings),
             configurations,
         )
         self.tables.add(
-            'upstreams', adapter.open_upstreams(settings), self.upstreams
+            'upstreams',
+            partial(adapter.open_upstreams, settings),
+            self.upstreams,
         )
         self.http_servers = [
             make_page_server(
@@ -131,7 +135,9 @@
         )
         dispatcher.on_load_change = self.load_gossip.load_changed.set
         self.load_gossip.read_table_versions = self.tables.versions
-        self.load_gossip.on_table_versions = self.tables.handle_versions
+        self.load_gossip.read_confirmations = self.tables.confirmations
+        self.load_gossip.on_tables = self.handle_peer_tables
+        self.tables.on_confirmed = self.load_gossip.load_changed.set
         self.datagrams.handlers[HEALTH] = self.update_health
         self.entry.forwarder.crash_guard.share(
             self.datagrams,
@@ -143,6 +149,11 @@
         self.settings_file = SettingsFileWatcher(path, self.reload)
         self.stopping = False
 
+    def handle_peer_tables(self, load: EntryLoad) -> None:
+        """Handle what a peer knows of the store's tables."""
+        self.tables.handle_confirmations(load.confirmations)
+        self.tables.handle_versions(load.tables)
+
     def start(self) -> None:
         """Start all components."""
         self.log.write('start', settings=str(self.path))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -1,4 +1,7 @@
-"""Exchange the numbers of requests in flight between entries."""
+"""Exchange the numbers of requests in flight between entries.
+
+The messages also carry what an entry knows of the store's tables.
+"""
 
 import random
 from collections.abc import Callable
@@ -9,6 +12,7 @@
 from gevent.event import Event
 
 from comfreyarch_core.fleetload import PEER_TIMEOUT_S, EntryLoad, FleetLoad
+from comfreyarch_core.tablefreshness import Confirmation
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.upstreamcalls import boot_time
@@ -16,6 +20,8 @@
 # Tag of the messages with an entry's load.
 LOAD = 'load'
 INCARNATION_BITS = 32
+# Position of the confirmations in a message; earlier releases send none.
+CONFIRMATIONS_INDEX = 7
 # Minimum time between two loads sent; changes are otherwise sent at once.
 MIN_SEND_GAP_S = 0.02
 # Limit on datagrams sent by an entry; the time between two loads grows with
@@ -47,7 +53,8 @@
     :param last_received_at: time of the last datagram of each reachable peer.
     :param load_changed: set to send the load at once.
     :param read_table_versions: returns the newest known row version by table.
-    :param on_table_versions: called with those versions of a peer.
+    :param read_confirmations: returns this entry's confirmations by table.
+    :param on_tables: called with the versions and the confirmations of a peer.
     """
 
     __slots__ = (
@@ -61,8 +68,9 @@
         'lost_sent_at',
         'node',
         'on_peer_load',
-        'on_table_versions',
+        'on_tables',
         'peers',
+        'read_confirmations',
         'read_table_versions',
         'sequence',
         'worker',
@@ -90,7 +98,8 @@
         self.load_counts = load_counts
         self.on_peer_load = on_peer_load
         self.read_table_versions: Callable[[], dict[str, int]] = dict
-        self.on_table_versions: Callable[[dict[str, int]], None] = ignore
+        self.read_confirmations: Callable[[], dict[str, Confirmation]] = dict
+        self.on_tables: Callable[[EntryLoad], None] = ignore
         self.log = log
         self.peers: dict[str, str] = {}
         self.last_received_at: dict[str, float] = {}
@@ -125,7 +134,7 @@
         now = boot_time()
         self.record_contact(load.node, address, now)
         if self.fleet_load.handle(load, now):
-            self.on_table_versions(load.tables)
+            self.on_tables(load)
             self.on_peer_load()
 
     def record_contact(self, node: str, address: str, now: float) -> None:
@@ -167,6 +176,7 @@
             counts,
             waiting,
             self.read_table_versions(),
+            self.read_confirmations(),
         )
         encoded = cbor2.dumps(encode_load(load))
         includes_lost = now - self.lost_sent_at >= LOST_HEARTBEAT_INTERVAL_S
@@ -190,6 +200,10 @@
         load.counts,
         load.waiting,
         load.tables,
+        {
+            name: [confirmation.floor, confirmation.age_s]
+            for name, confirmation in load.confirmations.items()
+        },
     ]
 
 
@@ -212,9 +226,26 @@
         check_counts(counts),
         check_counts(waiting),
         check_counts(tables),
+        decode_confirmations(message),
     )
 
 
+def decode_confirmations(message: list[Any]) -> dict[str, Confirmation]:
+    """Decode the confirmations in the message with an entry's load.
+
+    :returns: confirmations by table, none for an entry that sends none.
+    :raises ValueError: if they are malformed.
+    """
+    if len(message) <= CONFIRMATIONS_INDEX:
+        return {}
+    confirmations = {}
+    for name, (floor, age_s) in message[CONFIRMATIONS_INDEX].items():
+        if not isinstance(floor, int) or not age_s >= 0:
+            raise ValueError('entry load has an invalid confirmation')
+        confirmations[str(name)] = Confirmation(floor, float(age_s))
+    return confirmations
+
+
 def check_counts(counts: object) -> dict[str, int]:
     """Check that a value maps names to integer counts.
 
@@ -229,5 +260,5 @@
     return counts
 
 
-def ignore(_versions: dict[str, int]) -> None:
-    """Do nothing; the default for ``LoadGossip.on_table_versions``."""
+def ignore(_load: EntryLoad) -> None:
+    """Do nothing; the default for ``LoadGossip.on_tables``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -15,9 +15,9 @@
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Long-poll timeout. Store calls are priced, so it is long; dead connections
-# are detected sooner by TCP keepalive probes.
-POLL_TIMEOUT_S = 20.0
+# Long-poll timeout. Store calls are priced, so it is just below the longest
+# that the store allows; probes show sooner that a poll is not answered.
+POLL_TIMEOUT_S = 28.0
 # Pause after a change, so that further changes within it share one call.
 COALESCE_PAUSE_S = 0.25
 # Long-poll timeout while the store is unreachable, and after ``interrupt``:
@@ -82,6 +82,8 @@
 
     :param freshness: when the knowledge of the table was last confirmed.
     :param is_interrupted: set by ``interrupt``; the next call is then a probe.
+    :param is_restarting: whether the call in flight was ended on purpose, to be
+        repeated at once.
     :param is_unreachable: whether the store did not answer the last call.
     :param newest_version: version of the newest row seen.
     :param retry_s: next pause before a retry, without jitter.
@@ -90,6 +92,7 @@
     __slots__ = (
         'freshness',
         'is_interrupted',
+        'is_restarting',
         'is_unreachable',
         'jitter_source',
         'listener',
@@ -118,13 +121,14 @@
         self.log = log
         self.metrics = metrics
         self.tracker = make_table_tracker()
-        self.freshness = make_table_freshness()
         self.is_unreachable = False
         self.is_interrupted = False
+        self.is_restarting = False
         self.newest_version = 0
         self.retry_s = FIRST_RETRY_S
         # Nodes must not call in step, so the seed differs between them.
         self.jitter_source = random.Random(f'{log.node}/{name}')
+        self.freshness = make_table_freshness(self.jitter_source)
         self.worker: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -143,8 +147,8 @@
             try:
                 self.step()
             except StoreCallFailed as error:
-                # ``interrupt`` closed the connection; poll again at once.
-                if self.is_interrupted:
+                # The connection was closed on purpose; poll again at once.
+                if self.is_interrupted or self.is_restarting:
                     continue
                 self.mark_unreachable(str(error))
                 gevent.sleep(
@@ -158,6 +162,7 @@
         :raises StoreCallFailed: if the store does not answer.
         """
         self.metrics.count('store_calls', table=self.name)
+        self.is_restarting = False
         if self.tracker.needs_full_read:
             self.read()
             return
@@ -168,18 +173,70 @@
         try:
             state = self.table.changes(self.tracker.version, wait_s)
         except HistoryGone:
-            self.log.write('history_gone', table=self.name)
-            self.tracker.mark_history_lost()
+            self.record_history_gone()
             return
-        waited_until = started_at + wait_s
-        is_unchanged = not state.rows and boot_time() >= waited_until
+        confirmed_at = started_at
+        if not state.rows and boot_time() >= started_at + wait_s:
+            # The store waited for all of this time before it answered.
+            confirmed_at += wait_s
+        if self.apply_changes(state, confirmed_at):
+            gevent.sleep(COALESCE_PAUSE_S)
+
+    def probe(self, table: TableSource) -> None:
+        """Ask the store for changes, as the poll in flight may be unanswered.
+
+        :param table: a connection of its own for this call.
+        """
+        self.metrics.count('store_calls', table=self.name)
+        started_at = boot_time()
+        was_unreachable = self.is_unreachable
+        try:
+            state = table.changes(self.tracker.version, PROBE_TIMEOUT_S)
+        except HistoryGone:
+            self.record_history_gone()
+            self.restart_poll()
+            return
+        except StoreCallFailed as error:
+            self.handle_failed_probe(started_at, str(error))
+            return
+        # The poll should have returned these changes.
+        if self.apply_changes(state, started_at) or was_unreachable:
+            self.restart_poll()
+
+    def handle_failed_probe(self, probed_at: float, why: str) -> None:
+        """End the poll in flight, as the store may not have received it."""
+        if self.is_unreachable:
+            return
+        if self.freshness.is_store_lost(probed_at):
+            self.mark_unreachable(why)
+            self.table.close()
+        elif self.freshness.is_confirmed_since(probed_at):
+            self.restart_poll()
+
+    def apply_changes(self, state: TableState, confirmed_at: float) -> bool:
+        """Apply an answer with the changes since a version.
+
+        :param confirmed_at: time up to which it contains all changes.
+        :returns: whether it contains any that are new.
+        """
         self.mark_reachable()
-        self.freshness.confirm(waited_until if is_unchanged else started_at)
+        self.freshness.confirm(confirmed_at)
         self.record_newest(state)
         change = self.tracker.changed(state)
-        if change.rows or change.removed:
+        is_changed = bool(change.rows or change.removed)
+        if is_changed:
             self.listener.apply_change(change)
-            gevent.sleep(COALESCE_PAUSE_S)
+        return is_changed
+
+    def record_history_gone(self) -> None:
+        """Require a full read, as the store lost changes."""
+        self.log.write('history_gone', table=self.name)
+        self.tracker.mark_history_lost()
+
+    def restart_poll(self) -> None:
+        """Repeat the long poll at once, from the version known now."""
+        self.is_restarting = True
+        self.table.close()
 
     def interrupt(self, newest: int) -> None:
         """Repeat the long poll at once, as a peer knows a newer row.
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -1,5 +1,7 @@
 """Simulate a store and entries that copy its tables, in virtual time."""
 
+from functools import partial
+
 from direct_world import RecordingLog
 from virtual_time import VirtualClock
 
@@ -151,10 +153,12 @@
         self.fleet = fleet
         self.number = number
         self.log = RecordingLog()
+        self.log.node = f'entry-{number}'
         self.applied = []
         self.paused_until = 0
         self.tables = TableSync(self.log, Metrics())
-        self.tables.add(TABLE, fleet.open_table(number), self)
+        self.tables.add(TABLE, partial(fleet.open_table, number), self)
+        self.tables.on_confirmed = self.send_tables
 
     @property
     def watch(self):
@@ -178,18 +182,26 @@
         self.tables.start()
         while True:
             clock.sleep(GOSSIP_INTERVAL_S)
-            self.send_versions()
+            self.send_tables()
+            self.tables.report_ages()
 
-    def send_versions(self):
-        """Send the known versions to the others."""
+    def send_tables(self):
+        """Send what is known of the table to the others."""
         for peer in self.fleet.entries:
             if peer is not self and self.fleet.is_linked(self, peer):
-                self.fleet.clock.spawn_later(
+                self.fleet.clock.spawn_for(
+                    peer.number,
                     GOSSIP_DELAY_S,
-                    peer.tables.handle_versions,
+                    peer.receive_tables,
                     self.tables.versions(),
+                    self.tables.confirmations(),
                 )
 
+    def receive_tables(self, versions, confirmations):
+        """Handle what a peer knows of the table."""
+        self.tables.handle_confirmations(confirmations)
+        self.tables.handle_versions(versions)
+
 
 class SimulatedFleet:
     """Run entries with one store, and changes of its configuration.
@@ -229,11 +241,20 @@
         """
         self.write(0)
         for number, entry in enumerate(self.entries):
-            self.clock.spawn_later(number * gap_s, entry.run)
+            self.clock.spawn_for(number, number * gap_s, entry.run)
         for content, at in enumerate(changes, start=1):
             self.clock.spawn_later(at, self.write, content)
         self.clock.run_until(self.start + end)
 
+    def freeze(self, numbers, start, end):
+        """Suspend entries for a time."""
+
+        def suspend():
+            for number in numbers:
+                self.clock.frozen_until[number] = self.start + end
+
+        self.clock.spawn_later(start, suspend)
+
     def write(self, content):
         """Write the configuration."""
         self.writes.append((self.clock.now, content))
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -5,8 +5,11 @@
 """
 
 import pytest
+import simulated_tables
 from simulated_tables import Fault, SimulatedFleet
 
+from comfreyarch_core.tablefreshness import CONFIRM_INTERVAL_S
+
 IN_FORCE_S = 2.0
 CONTACT_S = 3.0
 FAULT_AT = 8.0
@@ -91,6 +94,46 @@
     assert not late(fleet, range(8), -CONTACT_S)
 
 
+# Fails if messages that waited while an entry was suspended confirm its tables.
+@pytest.mark.parametrize('silent', [False, True])
+def test_an_entry_that_was_frozen_has_changes_in_force_in_time(
+    monkeypatch, silent
+):
+    faults = [Fault('silent', FAULT_AT, FAULT_AT + 2)] if silent else []
+    fleet = SimulatedFleet(monkeypatch, 4, faults)
+    fleet.freeze([0, 1], FAULT_AT + 1, FAULT_AT + 5)
+    fleet.run([*storm(6, FAULT_AT, 0.25), *storm(FAULT_AT + 2, 24, 0.9)], 30)
+    assert not late(fleet, [2, 3], FAULT_AT + 2)
+    assert not late(fleet, [0, 1], FAULT_AT + 5)
+
+
+# Fails if the age of the knowledge is unbounded, or each entry probes alone.
+@pytest.mark.parametrize('entries', [1, 8, 40])
+def test_the_age_is_bounded_with_the_calls_of_one_entry(monkeypatch, entries):
+    seconds = 40
+    fleet = SimulatedFleet(monkeypatch, entries, [])
+    fleet.run([], seconds)
+    for entry in fleet.entries:
+        logged = [event for event, _ in entry.log.events]
+        assert 'table_unconfirmed' not in logged
+    # Each entry reads the table and polls it at least twice.
+    own_calls = entries * 4
+    assert fleet.store.calls <= seconds / CONFIRM_INTERVAL_S + own_calls
+
+
+# Fails if entries pass on each other's confirmations, so that each message makes
+# what they know seem younger.
+def test_entries_do_not_keep_each_other_confirmed(monkeypatch):
+    monkeypatch.setattr(simulated_tables, 'GOSSIP_INTERVAL_S', 0.02)
+    monkeypatch.setattr(simulated_tables, 'GOSSIP_DELAY_S', 0.01)
+    fleet = SimulatedFleet(monkeypatch, 4, [Fault('silent', FAULT_AT, 30)])
+    fleet.run([], 20)
+    for entry in fleet.entries:
+        confirmed_at = entry.watch.freshness.confirmed_at - fleet.start
+        assert confirmed_at <= FAULT_AT + simulated_tables.GOSSIP_DELAY_S
+        assert entry.watch.is_unreachable
+
+
 def test_a_store_without_history_delays_no_change(monkeypatch):
     fleet = SimulatedFleet(monkeypatch, 4, [])
     for at in (8.1, 8.2, 12.0):
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -9,8 +9,9 @@
 class VirtualGreenlet:
     """Stand in for ``gevent.Greenlet``."""
 
-    def __init__(self, clock, callback, callback_args):
+    def __init__(self, clock, owner, callback, callback_args):
         self.clock = clock
+        self.owner = owner
         self.callback = callback
         self.callback_args = callback_args
         self.switcher = greenlet.greenlet(self.run, parent=clock.hub)
@@ -36,6 +37,8 @@
     """Schedule greenlets by virtual time; stands in for the gevent module.
 
     All greenlets that are due at one time run in the order of their pauses.
+    A greenlet belongs to the owner of the one that started it; those of a
+    frozen owner do not run.
     """
 
     def __init__(self, now=1000):
@@ -44,6 +47,7 @@
         self.due = []
         self.numbers = count()
         self.by_switcher = {}
+        self.frozen_until = {}
 
     def boot_time(self):
         """Return the virtual time."""
@@ -60,7 +64,13 @@
 
     def spawn_later(self, delay_s, callback, *callback_args):
         """Start a greenlet after a delay."""
-        target = VirtualGreenlet(self, callback, callback_args)
+        current = self.by_switcher.get(greenlet.getcurrent())
+        owner = current.owner if current else None
+        return self.spawn_for(owner, delay_s, callback, *callback_args)
+
+    def spawn_for(self, owner, delay_s, callback, *callback_args):
+        """Start a greenlet of an owner after a delay."""
+        target = VirtualGreenlet(self, owner, callback, callback_args)
         self.by_switcher[target.switcher] = target
         self.schedule(delay_s, target)
         return target
@@ -78,6 +88,10 @@
         while self.due and self.due[0][0] <= end:
             due_at, _, target = heapq.heappop(self.due)
             self.now = max(self.now, due_at)
+            frozen_until = self.frozen_until.get(target.owner, 0)
+            if frozen_until > self.now:
+                self.schedule(frozen_until - self.now, target)
+                continue
             if not target.switcher.dead:
                 target.switcher.switch()
             if target.switcher.dead:
