Request tables from peers that know more of them

Cause: an entry depended on its own path to the store. Peers told the version of their newest row, and all that followed was another call to the store.

Now an entry that lags behind a peer for 0.35 s, longer than the pause after which a watch polls again, requests the table, and the peer sends it whole, so that removed rows are known too, compressed, in parts of 16 KiB. It counts as far as the peer's copy goes and as old as the peer's own answer of the store. A second request interrupts the poll as before, as entries of earlier releases do not answer. Rows that were removed while the store does not answer this entry begin the grace period, as the outage may have just ended for the peer.

Weighed: sending each change to all peers unasked (a storm of changes would send each of them 8 x 7 times, against none now in ordinary running); entries polling each other over HTTP (one more server on each entry).

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
@@ -26,6 +26,7 @@
         'store_lost',
         'table_behind',
         'table_confirmed',
+        'table_relayed',
         'table_unconfirmed',
         'upstream_listed',
         'upstream_removed',
--- a/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
@@ -57,7 +57,7 @@
     :param version: the store's version up to which changes are known.
     :param floor: version of the latest known change, or of the last full read
         if that is later: it may have missed rows that were removed before.
-    :param rows: versions of the known rows, by key.
+    :param rows: the known rows, by key.
     :param tombstones: versions at which recently removed keys were removed.
     :param needs_full_read: whether the table must be read in full before
         changes can be polled.
@@ -65,7 +65,7 @@
 
     version: int = -1
     floor: int = -1
-    rows: dict[str, int] = field(default_factory=dict)
+    rows: dict[str, TableRow] = field(default_factory=dict)
     tombstones: dict[str, int] = field(default_factory=dict)
     needs_full_read: bool = True
 
@@ -94,7 +94,7 @@
         newer = self.accept_newer(state.rows)
         removed = tuple(row.key for row in newer if row.removed)
         for key in removed:
-            self.remove(key, self.rows[key])
+            self.remove(key, self.rows[key].version)
         return Change(tuple(row for row in newer if not row.removed), removed)
 
     def remove(self, key: str, version: int) -> None:
@@ -113,6 +113,23 @@
         """Require a full read: the store lost changes since the version."""
         self.needs_full_read = True
 
+    def known_version(self, key: str) -> int:
+        """Return the version at which a row was written or removed.
+
+        :returns: -1 for an unknown row.
+        """
+        row = self.rows.get(key)
+        if row is not None:
+            return row.version
+        return self.tombstones.get(key, -1)
+
+    def snapshot(self) -> TableState:
+        """Return the whole table as it is known.
+
+        :returns: its rows.
+        """
+        return TableState(tuple(self.rows.values()), self.version)
+
     def accept_newer(self, rows: Iterable[TableRow]) -> tuple[TableRow, ...]:
         """Record the versions of the rows that are newer than the known ones.
 
@@ -120,9 +137,8 @@
         """
         accepted: dict[str, TableRow] = {}
         for row in rows:
-            known = self.rows.get(row.key, self.tombstones.get(row.key, -1))
-            if row.version > known:
-                self.rows[row.key] = row.version
+            if row.version > self.known_version(row.key):
+                self.rows[row.key] = row
                 self.floor = max(self.floor, row.version)
                 accepted.pop(row.key, None)
                 accepted[row.key] = row
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -88,11 +88,15 @@
     def drop(self, name: str, now: float) -> None:
         """Remove one entry, or mark it as missing in the grace period.
 
-        An upstream that is leaving gets no grace.
+        An upstream that is leaving gets no grace. While the store does not
+        answer this node, a peer reports the removal, for which the outage may
+        have just ended: a grace period begins with it.
         """
         entry = self.entries.get(name)
         if entry is None:
             return
+        if self.is_store_down:
+            self.grace_until = max(self.grace_until, now + LAPSE_GRACE_S)
         if entry.leaving or now >= self.grace_until:
             self.entries.pop(name)
             self.missing.discard(name)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -32,6 +32,7 @@
     EntryAdapter,
     UpstreamsListener,
 )
+from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
 from comfreyarch_daemon.tablesync import TableSync
 from comfreyarch_daemon.tablewatch import (
     FIRST_RETRY_S,
@@ -103,17 +104,6 @@
         )
         self.upstreams = UpstreamsListener(adapter, self.entry)
         configurations = ConfigurationListener(adapter, self.entry)
-        self.tables = TableSync(self.log, self.metrics)
-        self.tables.add(
-            'configuration',
-            partial(adapter.open_configuration, settings),
-            configurations,
-        )
-        self.tables.add(
-            'upstreams',
-            partial(adapter.open_upstreams, settings),
-            self.upstreams,
-        )
         self.http_servers = [
             make_page_server(
                 settings.readiness,
@@ -125,6 +115,17 @@
         self.peer_directory = adapter.open_peers(settings)
         self.sidecar_directory = adapter.open_sidecars(settings)
         self.datagrams = Datagrams(settings.peers, self.log)
+        self.tables = TableSync(self.log, self.metrics, self.datagrams.send)
+        self.tables.add(
+            'configuration',
+            partial(adapter.open_configuration, settings),
+            configurations,
+        )
+        self.tables.add(
+            'upstreams',
+            partial(adapter.open_upstreams, settings),
+            self.upstreams,
+        )
         self.load_gossip = LoadGossip(
             settings.node,
             self.datagrams,
@@ -139,6 +140,8 @@
         self.load_gossip.on_tables = self.handle_peer_tables
         self.tables.on_confirmed = self.load_gossip.load_changed.set
         self.datagrams.handlers[HEALTH] = self.update_health
+        self.datagrams.handlers[TABLE_REQUEST] = self.tables.handle_request
+        self.datagrams.handlers[TABLE_PART] = self.tables.handle_part
         self.entry.forwarder.crash_guard.share(
             self.datagrams,
             self.load_gossip.peers.values,
@@ -149,10 +152,10 @@
         self.settings_file = SettingsFileWatcher(path, self.reload)
         self.stopping = False
 
-    def handle_peer_tables(self, load: EntryLoad) -> None:
+    def handle_peer_tables(self, load: EntryLoad, address: str) -> None:
         """Handle what a peer knows of the store's tables."""
         self.tables.handle_confirmations(load.confirmations)
-        self.tables.handle_versions(load.tables)
+        self.tables.handle_versions(load.tables, address)
 
     def start(self) -> None:
         """Start all components."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -54,7 +54,8 @@
     :param load_changed: set to send the load at once.
     :param read_table_versions: returns the newest known row version by table.
     :param read_confirmations: returns this entry's confirmations by table.
-    :param on_tables: called with the versions and the confirmations of a peer.
+    :param on_tables: called with the load and the address of a peer, for what it
+        knows of the tables.
     """
 
     __slots__ = (
@@ -99,7 +100,7 @@
         self.on_peer_load = on_peer_load
         self.read_table_versions: Callable[[], dict[str, int]] = dict
         self.read_confirmations: Callable[[], dict[str, Confirmation]] = dict
-        self.on_tables: Callable[[EntryLoad], None] = ignore
+        self.on_tables: Callable[[EntryLoad, str], None] = ignore
         self.log = log
         self.peers: dict[str, str] = {}
         self.last_received_at: dict[str, float] = {}
@@ -134,7 +135,7 @@
         now = boot_time()
         self.record_contact(load.node, address, now)
         if self.fleet_load.handle(load, now):
-            self.on_tables(load)
+            self.on_tables(load, address)
             self.on_peer_load()
 
     def record_contact(self, node: str, address: str, now: float) -> None:
@@ -260,5 +261,5 @@
     return counts
 
 
-def ignore(_load: EntryLoad) -> None:
+def ignore(_load: EntryLoad, _address: str) -> None:
     """Do nothing; the default for ``LoadGossip.on_tables``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -1,10 +1,14 @@
 """Keep a node's copies of the store's tables current, with its peers' help.
 
 Each table is watched with a long poll. A probe on a connection of its own
-confirms it when neither the poll nor a peer has done so for a while.
+confirms it when neither the poll nor a peer has done so for a while. A table
+that stays behind that of a peer is requested from the peer, as the store may
+answer the peer only.
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
 
 import gevent
 
@@ -15,6 +19,7 @@
 )
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.tablerelay import TableRelay, decode_request
 from comfreyarch_daemon.tablewatch import (
     TableListener,
     TableSource,
@@ -22,36 +27,66 @@
 )
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Time that a table may lag behind that of a peer before its long poll is
-# interrupted.
-MAX_TABLE_LAG_S = 0.6
+# Time that a table may lag behind that of a peer before it is requested from the
+# peer, and again after each further such time. It is longer than the pause
+# after which a watch polls again.
+MAX_TABLE_LAG_S = 0.35
 # Shortest pause between two checks for probes that are due.
 MIN_PAUSE_S = 0.01
 
 
+@dataclass(slots=True)
+class TableLag:
+    """Describe a table of which a peer knows more.
+
+    :param newest: version of the newest row that a peer knows.
+    :param address: datagram address of that peer.
+    :param due_at: time at which the table is requested if it still lags.
+    :param requests: number of requests sent.
+    """
+
+    newest: int
+    address: str
+    due_at: float
+    requests: int = 0
+
+
 class TableSync:
     """Own the watches of a node's tables.
 
     :param watches: the watches by table name.
     :param sources: functions that open a connection, by table name.
+    :param lags: tables of which peers know more, by name.
     :param probing: connections of the probes in flight.
     :param on_confirmed: called after the store confirmed a table, to send that
         to the peers.
     """
 
     __slots__ = (
+        'lags',
         'log',
         'metrics',
         'on_confirmed',
         'pause_detector',
         'probing',
+        'relay',
         'sources',
         'watches',
         'worker',
     )
 
-    def __init__(self, log: EventLog, metrics: Metrics) -> None:
-        """Prepare without tables; ``add`` adds them."""
+    def __init__(
+        self,
+        log: EventLog,
+        metrics: Metrics,
+        send: Callable[[list[Any], str], None],
+    ) -> None:
+        """Prepare without tables; ``add`` adds them.
+
+        :param send: sends a message to a peer's address.
+        """
+        self.relay = TableRelay(send)
+        self.lags: dict[str, TableLag] = {}
         self.log = log
         self.metrics = metrics
         self.watches: dict[str, TableWatch] = {}
@@ -96,6 +131,7 @@
             for name in self.due_probes(now):
                 self.watches[name].freshness.record_probe(now)
                 gevent.spawn(self.probe, name)
+            self.request_lagging_tables(now)
 
     def pause_s(self, now: float) -> float:
         """Return the time to the next probe or run check.
@@ -105,6 +141,7 @@
         due_times = [
             watch.freshness.probe_due_at() for watch in self.watches.values()
         ]
+        due_times += [lag.due_at for lag in self.lags.values()]
         pauses_s = [due_at - now for due_at in due_times if due_at is not None]
         return max(MIN_PAUSE_S, min([RUN_CHECK_INTERVAL_S, *pauses_s]))
 
@@ -170,15 +207,79 @@
             name: watch.newest_version for name, watch in self.watches.items()
         }
 
-    def handle_versions(self, versions: dict[str, int]) -> None:
-        """Interrupt the long polls of tables of which a peer knows a newer row.
+    def handle_versions(self, versions: dict[str, int], address: str) -> None:
+        """Record the tables of which a peer knows a newer row.
 
-        Each is interrupted after the lag allowed, unless it then has the row.
+        :param address: the peer's datagram address.
         """
         for name, watch in self.watches.items():
             newest = versions.get(name, 0)
-            if newest > watch.tracker.version:
-                gevent.spawn_later(MAX_TABLE_LAG_S, watch.interrupt, newest)
+            lag = self.lags.get(name)
+            if newest <= watch.tracker.version:
+                continue
+            if lag is None:
+                due_at = boot_time() + MAX_TABLE_LAG_S
+                self.lags[name] = TableLag(newest, address, due_at)
+            elif newest >= lag.newest:
+                lag.newest = newest
+                lag.address = address
+
+    def request_lagging_tables(self, now: float) -> None:
+        """Request the tables that still lag from the peers that know more.
+
+        The long poll of a table is interrupted as well if a request brought
+        nothing: a peer of an earlier release does not answer.
+        """
+        for name, lag in list(self.lags.items()):
+            watch = self.watches[name]
+            if watch.tracker.version >= lag.newest:
+                self.lags.pop(name)
+            elif now >= lag.due_at:
+                if lag.requests:
+                    watch.interrupt(lag.newest)
+                self.relay.request(name, watch.tracker.version, lag.address)
+                lag.requests += 1
+                lag.due_at = now + MAX_TABLE_LAG_S
+
+    def handle_request(self, message: list[Any], address: str) -> None:
+        """Send a peer a table of which it knows less.
+
+        :raises ValueError: if the message is malformed.
+        """
+        name, known = decode_request(message)
+        watch = self.watches.get(name)
+        if watch is None or watch.tracker.version <= known:
+            return
+        confirmation = self.confirmations().get(name)
+        if confirmation is not None:
+            self.relay.send_table(
+                name, watch.tracker.snapshot(), confirmation, address
+            )
+
+    def handle_part(self, message: list[Any], address: str) -> None:
+        """Apply a table that a peer sent, once all parts have arrived.
+
+        :raises ValueError: if the message is malformed.
+        """
+        received = self.relay.receive_part(message, address)
+        if received is None:
+            return
+        name = str(message[1])
+        state, age_s = received
+        watch = self.watches.get(name)
+        if watch is None or not watch.apply_snapshot(state):
+            return
+        now = boot_time()
+        if not self.pause_detector.is_backlogged(now):
+            watch.freshness.confirm_by_peer(now - age_s)
+        self.metrics.count('tables_relayed', table=name)
+        self.log.write(
+            'table_relayed',
+            table=name,
+            version=state.version,
+            age_s=round(age_s, 3),
+            address=address,
+        )
 
     def report_ages(self) -> None:
         """Publish the age of each table."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -228,6 +228,23 @@
             self.listener.apply_change(change)
         return is_changed
 
+    def apply_snapshot(self, state: TableState) -> bool:
+        """Apply a whole table that a peer sent.
+
+        :returns: False if no more is known from it.
+        """
+        if state.version <= self.tracker.version:
+            return False
+        change = self.tracker.read(state)
+        if change is None:
+            return False
+        self.record_newest(state)
+        self.listener.apply_change(change)
+        if not self.is_unreachable:
+            # The poll should have returned these changes.
+            self.restart_poll()
+        return True
+
     def record_history_gone(self) -> None:
         """Require a full read, as the store lost changes."""
         self.log.write('history_gone', table=self.name)
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -8,6 +8,7 @@
 from comfreyarch_core.tabletracker import TableRow, TableState
 from comfreyarch_daemon import tablesync, tablewatch
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
 from comfreyarch_daemon.tablesync import TableSync
 from comfreyarch_daemon.tablewatch import HistoryGone, StoreCallFailed
 
@@ -156,7 +157,7 @@
         self.log.node = f'entry-{number}'
         self.applied = []
         self.paused_until = 0
-        self.tables = TableSync(self.log, Metrics())
+        self.tables = TableSync(self.log, Metrics(), self.send)
         self.tables.add(TABLE, partial(fleet.open_table, number), self)
         self.tables.on_confirmed = self.send_tables
 
@@ -195,12 +196,34 @@
                     peer.receive_tables,
                     self.tables.versions(),
                     self.tables.confirmations(),
+                    self.address,
                 )
 
-    def receive_tables(self, versions, confirmations):
+    @property
+    def address(self):
+        """Return the entry's address."""
+        return str(self.number)
+
+    def send(self, message, address):
+        """Send a message to a peer."""
+        peer = self.fleet.entries[int(address)]
+        if self.fleet.is_linked(self, peer):
+            handlers = {
+                TABLE_REQUEST: peer.tables.handle_request,
+                TABLE_PART: peer.tables.handle_part,
+            }
+            self.fleet.clock.spawn_for(
+                peer.number,
+                GOSSIP_DELAY_S,
+                handlers[message[0]],
+                message,
+                self.address,
+            )
+
+    def receive_tables(self, versions, confirmations, address):
         """Handle what a peer knows of the table."""
         self.tables.handle_confirmations(confirmations)
-        self.tables.handle_versions(versions)
+        self.tables.handle_versions(versions, address)
 
 
 class SimulatedFleet:
--- a/tests/test_upstreamlist.py
+++ b/tests/test_upstreamlist.py
@@ -67,3 +67,17 @@
     assert set(upstreams.entries) == {'reborn'}
     upstreams.change(UPSTREAM_1)
     assert set(upstreams.entries) == {'reborn'}
+
+
+# Fails if an entry that the store turns away drops a live upstream whose row
+# lapsed in an outage from which a peer returned first.
+def test_a_removal_that_a_peer_reports_during_an_outage_begins_the_grace():
+    upstreams = make_upstream_list()
+    upstreams.replace([UPSTREAM_1, UPSTREAM_2], 0)
+    upstreams.change(replace(UPSTREAM_2, leaving=True))
+    upstreams.store_lost()
+    upstreams.drop('one', 10)
+    upstreams.drop('two', 10)
+    assert set(upstreams.entries) == {'one'}
+    assert upstreams.expire(10 + LAPSE_GRACE_S / 2) == []
+    assert upstreams.expire(10 + LAPSE_GRACE_S) == ['one']
