--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -319,6 +319,27 @@
     assert state.version == 530
 
 
+# Fails if a row of another part with the key of the configuration is taken for
+# the configuration: the feed returns the rows of all parts of a table.
+def test_rows_of_other_parts_are_left_out():
+    state = decode_page(
+        {
+            'rows': [
+                {'part': 'p', 'key': 'config', 'schemaVersion': 7},
+                {'part': '', 'key': 'config', 'schemaVersion': 6},
+                {
+                    'part': 'p',
+                    'key': 'x',
+                    'schemaVersion': 9,
+                    'isRemoved': True,
+                },
+            ],
+            'schemaVersion': 530,
+        }
+    )
+    assert [(row.key, row.version) for row in state.rows] == [('config', 6)]
+
+
 @pytest.mark.parametrize(
     'page',
     [
