Apply revisions that lack a sidecar's upstream

A sidecar whose upstream was taken out of the configuration raised UnboundLocalError in apply_config. The configuration counted as in force, but its quarantines and planned stops were lost, so a call that crashes upstreams would still be handed over.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -143,18 +143,22 @@
         self.config = config
         upstream = config.upstreams.get(self.upstream.name)
         if upstream is not None:
-            group = config.model_groups.get(upstream.group)
-            service_group = config.service_groups.get(upstream.group)
-            slots = group.slots if group is not None else 1
-            if service_group is not None:
-                slots = service_group.slots
-            self.attempt_server.admission.slots = slots
-        if group is not None:
-            self.join_group(config)
+            self.apply_group(config, upstream.group)
         published = suspects.Published(frozenset(config.quarantines))
         self.handle_suspect_message(published)
         self.update_leaving()
 
+    def apply_group(self, config: ConfigSet, name: str) -> None:
+        """Apply the configuration of the upstream's group."""
+        group = config.model_groups.get(name)
+        service_group = config.service_groups.get(name)
+        slots = group.slots if group is not None else 1
+        if service_group is not None:
+            slots = service_group.slots
+        self.attempt_server.admission.slots = slots
+        if group is not None:
+            self.join_group(config)
+
     def join_group(self, config: ConfigSet) -> None:
         """Join the rank group, or apply its new configuration."""
         if self.membership is None:
