Keep an entry draining after SIGTERM whatever the configuration says

A configuration without a planned stop for the entry, which is every ordinary one, ended the drain that SIGTERM had begun: the entry counted as ready and took new requests until it was killed. A sidecar already kept the two reasons apart; the entry does now. The new test fails on the former code.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -35,6 +35,7 @@
 
     :param subset: sidecars that the entry links to.
     :param leaving: whether a planned stop is in progress.
+    :param stopping: whether this process is ending.
     """
 
     __slots__ = (
@@ -48,6 +49,7 @@
         'outcomes',
         'router',
         'settings',
+        'stopping',
         'subset',
         'ticker',
     )
@@ -72,6 +74,7 @@
         self.instances: dict[str, Instance] = {}
         self.subset: list[Peer] = []
         self.leaving = False
+        self.stopping = False
         self.ticker = Ticker(
             self.renew, lambda: QUOTA_RENEWAL_INTERVAL_S, node.random_source
         )
@@ -88,6 +91,7 @@
 
     def drain(self) -> None:
         """Refuse new requests and wait up to ``drain_s`` for the open ones."""
+        self.stopping = True
         self.mark_leaving(leaving=True)
         drain_deadline = time.monotonic() + self.settings.drain_s
         while (
@@ -130,7 +134,7 @@
         self.outcomes.apply_config(config)
         self.caller_server.reader = RequestReader(config)
         stops = {stop.entry for stop in config.stops.values()}
-        self.mark_leaving(leaving=self.settings.node in stops)
+        self.mark_leaving(leaving=self.stopping or self.settings.node in stops)
         self.update_subset()
 
     def update_instances(self, instances: list[Instance]) -> None:
--- a/tests/test_roles_configuration.py
+++ b/tests/test_roles_configuration.py
@@ -7,6 +7,7 @@
     Stop,
     Upstream,
 )
+from comfreyarch_daemon.entry import EntryRole
 from comfreyarch_daemon.node import Node
 from comfreyarch_daemon.settings import Settings, UpstreamSettings
 from comfreyarch_daemon.sidecar import SidecarRole
@@ -54,3 +55,27 @@
     assert role.leaving
     assert 'digest' in role.suspect_tracker.published
     assert not role.ready()
+
+
+# Fails if a configuration without a planned stop ends the drain of an entry that
+# received SIGTERM, so that it takes new requests until it is killed.
+def test_a_configuration_does_not_end_the_drain_of_a_stopping_entry():
+    node = make_node('entry')
+    role = EntryRole(node)
+    node.attach(role)
+    role.apply_config(ConfigSet())
+    assert role.ready()
+    role.drain()
+    role.apply_config(ConfigSet())
+    assert not role.ready()
+    assert role.caller_server.stopping
+
+
+def test_a_withdrawn_planned_stop_lets_an_entry_serve_again():
+    node = make_node('entry')
+    role = EntryRole(node)
+    node.attach(role)
+    role.apply_config(ConfigSet(stops={'stop': Stop(entry='n')}))
+    assert not role.ready()
+    role.apply_config(ConfigSet())
+    assert role.ready()
