--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -143,22 +143,15 @@
         self.config = config
         upstream = config.upstreams.get(self.upstream.name)
         if upstream is not None:
-            self.apply_group(config, upstream.group)
+            self.attempt_server.admission.slots = find_slots(
+                config, upstream.group
+            )
+            if upstream.group in config.model_groups:
+                self.join_group(config)
         published = suspects.Published(frozenset(config.quarantines))
         self.handle_suspect_message(published)
         self.update_leaving()
 
-    def apply_group(self, config: ConfigSet, name: str) -> None:
-        """Apply the configuration of the upstream's group."""
-        group = config.model_groups.get(name)
-        service_group = config.service_groups.get(name)
-        slots = group.slots if group is not None else 1
-        if service_group is not None:
-            slots = service_group.slots
-        self.attempt_server.admission.slots = slots
-        if group is not None:
-            self.join_group(config)
-
     def join_group(self, config: ConfigSet) -> None:
         """Join the rank group, or apply its new configuration."""
         if self.membership is None:
@@ -333,3 +326,15 @@
         if self.membership is None:
             return {}
         return self.membership.coordinator_role.explain()
+
+
+def find_slots(config: ConfigSet, group: str) -> int:
+    """Find the number of slots of the upstreams of a group.
+
+    :returns: the slots, 1 for a group that is not configured.
+    """
+    service_group = config.service_groups.get(group)
+    if service_group is not None:
+        return service_group.slots
+    model_group = config.model_groups.get(group)
+    return model_group.slots if model_group is not None else 1
