Count the entries that share the retry budget as they appear

Entries that send their load are counted at once now, those in the list as before. The new test fails on the former code, which has no such count; the tests of the confirmations in these messages stand beside it.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -196,6 +196,9 @@
                 self.send_hello()
                 self.entry.forwarder.crash_guard.resend_suspects()
             self.upstreams.tick()
+            entries = self.load_gossip.count_entries()
+            if entries is not None:
+                self.entry.forwarder.entries = entries
             self.tables.report_ages()
             self.entry.forwarder.pool.trim()
 
@@ -218,7 +221,6 @@
             self.load_gossip.add_members(members)
             self.sidecars |= set(sidecars.values())
             self.send_hello()
-            self.entry.forwarder.entries = max(1, len(members))
             self.log.write('peers_listed', peers=len(members))
             pause = FIRST_RETRY_S
             gevent.sleep(PEER_LIST_INTERVAL_S)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -49,6 +49,7 @@
 class LoadGossip:
     """Exchange entry loads with the other entries.
 
+    :param listed: the other entries when they were last listed, None before.
     :param peers: addresses of all other known entries, by node.
     :param last_received_at: time of the last datagram of each reachable peer.
     :param load_changed: set to send the load at once.
@@ -63,6 +64,7 @@
         'fleet_load',
         'incarnation',
         'last_received_at',
+        'listed',
         'load_changed',
         'load_counts',
         'log',
@@ -102,6 +104,7 @@
         self.read_confirmations: Callable[[], dict[str, Confirmation]] = dict
         self.on_tables: Callable[[EntryLoad, str], None] = ignore
         self.log = log
+        self.listed: set[str] | None = None
         self.peers: dict[str, str] = {}
         self.last_received_at: dict[str, float] = {}
         self.lost_sent_at = 0.0
@@ -121,11 +124,22 @@
 
     def add_members(self, members: dict[str, str]) -> None:
         """Add the listed entries as peers."""
+        self.listed = members.keys() - {self.node}
         for node, address in members.items():
             if node != self.node:
                 self.peers[node] = address
         self.load_changed.set()
 
+    def count_entries(self) -> int | None:
+        """Count the entries, of which some may have started after the listing.
+
+        :returns: this one, those listed and those that send their load; None
+            before the first listing.
+        """
+        if self.listed is None:
+            return None
+        return 1 + len(self.listed | self.last_received_at.keys())
+
     def receive_load(self, message: list[Any], address: str) -> None:
         """Handle the load of a peer.
 
