Silence the soak's store as the platform's, and check each configuration's time

A silence now swallows each call that it meets. Two faults are new: configurations in quick succession, and a silence that such a succession follows. A new check reads from the entries' logs when each version came into force: within 2 s at each entry that no fault affected for 3 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -15,7 +15,13 @@
 import typer
 
 from soak.callers import RETRYABLE_STATUSES, CallerPool
-from soak.checks import Evidence, check, read_logged_attempts, read_runs
+from soak.checks import (
+    Evidence,
+    check,
+    read_configurations,
+    read_logged_attempts,
+    read_runs,
+)
 from soak.faultinjection import FaultInjector
 from soak.fleet import Fleet, FleetSize
 
@@ -66,6 +72,7 @@
         injector.published,
         KEYS,
         read_logged_attempts(folder),
+        read_configurations(folder),
     )
     write_evidence(folder, evidence)
     violations = check(evidence, timed=timed) + find_tracebacks(folder)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,7 +8,7 @@
 import json
 import re
 from collections import defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -39,6 +39,8 @@
     :param runs: events that servers wrote: runs, draining and mixed maps.
     :param teams: API key → team.
     :param logged_attempts: ids of the attempts in the entries' logs.
+    :param in_force: time and version of each configuration that came into
+        force, by entry, from the logs.
     """
 
     records: list[AttemptRecord]
@@ -47,6 +49,7 @@
     published: list[PublishedConfiguration]
     teams: dict[str, str]
     logged_attempts: set[str]
+    in_force: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
 
     def is_unaffected(self, entry: str, start: float, end: float) -> bool:
         """Check that no fault affected an entry or the store in an interval.
@@ -92,6 +95,21 @@
     return found
 
 
+def read_configurations(folder: Path) -> dict[str, list[tuple[float, int]]]:
+    """Read from the entries' logs when configurations came into force.
+
+    :returns: Unix time and version of each, by entry.
+    """
+    found: dict[str, list[tuple[float, int]]] = {}
+    for path in folder.glob('entry-*.log'):
+        configurations = found.setdefault(path.stem, [])
+        for line in path.read_text('utf-8', 'replace').splitlines():
+            if '"event":"configuration",' in line:
+                logged = json.loads(line)
+                configurations.append((logged['at'], logged['version']))
+    return found
+
+
 def check(evidence: Evidence, *, timed: bool = True) -> list[str]:
     """Check all guarantees.
 
@@ -110,6 +128,7 @@
     time_bound = (
         lost_in_planned_work,
         outdated_configuration,
+        late_configurations,
         sent_to_draining,
     )
     guarantees = (*untimed, *time_bound) if timed else untimed
@@ -282,6 +301,29 @@
     return violations
 
 
+def late_configurations(evidence: Evidence) -> list[str]:
+    """Find configurations that an entry had in force too late or not at all.
+
+    Those before the entry's first one are left out, as it was starting.
+    """
+    violations = []
+    for entry, configurations in evidence.in_force.items():
+        for published in evidence.published:
+            if configurations and published.at < configurations[0][0]:
+                continue
+            due_at = published.at + MAX_CONFIGURATION_DELAY_S
+            known = [version for at, version in configurations if at <= due_at]
+            if max(known, default=0) < published.version and (
+                evidence.is_unaffected(
+                    entry, published.at - CONTACT_RECOVERY_S, due_at
+                )
+            ):
+                violations.append(
+                    f'version {published.version} of {published.at} at {entry}'
+                )
+    return violations
+
+
 def sent_to_draining(evidence: Evidence) -> list[str]:
     """Find requests sent to a server too long after it began to drain."""
     draining = {
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -14,9 +14,11 @@
 
 # Faults that are planned work; all others are disruptions.
 PLANNED_WORK = frozenset(
-    ('stop', 'hup', 'settings', 'configure', 'drain', 'roll')
+    ('stop', 'hup', 'settings', 'configure', 'storm', 'drain', 'roll')
 )
 MAX_FAULT_S = 4.0
+# Pause between the configurations of a storm.
+STORM_GAP_S = 0.25
 ANSWER_FAULTS = ('errors', 'lost', 'hang', 'rubbish', 'cut', 'extra')
 STORE_FAULTS = ('busy', 'silent', 'slow', 'lost', 'late', 'forget')
 LINK_MODES = ('silent', 'deaf', 'mute', 'delay', 'refuse')
@@ -48,6 +50,7 @@
 
     at: float
     keys: frozenset[str]
+    version: int = 0
 
 
 class FaultInjector:
@@ -77,6 +80,7 @@
             'stop': self.stop_entry,
             'hup': self.send_hup,
             'settings': self.rewrite_settings,
+            'storm': self.publish_storm,
             'configure': self.publish_configuration,
             'drain': self.drain_plain_server,
             'roll': self.roll_entries,
@@ -90,6 +94,7 @@
             'reset': self.break_connections,
             'store': self.impair_store,
             'store-pause': self.pause_store,
+            'store-silence': self.silence_store,
             'reform': self.reform_group,
             'late-orders': self.delay_orders,
             'burst': self.raise_request_rate,
@@ -169,9 +174,18 @@
         keys = {'key-a': 'team-a', 'key-b': 'team-b', **spare}
         row = make_configuration(self.version, keys, self.rng)
         at = self.fleet.write_row('op', 'config', row)
-        self.published.append(PublishedConfiguration(at, frozenset(keys)))
+        self.published.append(
+            PublishedConfiguration(at, frozenset(keys), self.version)
+        )
         self.faults.append(Fault('configure', 'all', at, at))
 
+    def publish_storm(self, duration_s: float) -> None:
+        """Publish configurations in quick succession."""
+        end = time.time() + duration_s
+        while time.time() < end:
+            self.publish_configuration()
+            gevent.sleep(STORM_GAP_S)
+
     def drain_plain_server(self, _duration_s: float) -> None:
         """Drain a plain server and start a replacement."""
         plain = [
@@ -270,6 +284,14 @@
         """Suspend the store."""
         self.pause_program('store', 'store-pause', duration_s)
 
+    def silence_store(self, duration_s: float) -> None:
+        """Make the store silent, and publish configurations afterwards."""
+        self.record_fault('store-silent', 'store', duration_s)
+        self.fleet.set_store_fault('silent')
+        gevent.sleep(duration_s)
+        self.fleet.set_store_fault('')
+        self.publish_storm(2 * MAX_FAULT_S)
+
     def list_groups(self) -> list[str]:
         """Return the names of the rank groups."""
         return [
--- a/soak/store.py
+++ b/soak/store.py
@@ -38,6 +38,8 @@
     :param compacted_version: newest version that history does not cover.
     :param fault: current fault of calls from entries and sidecars, empty for
         none.
+    :param silences: number of silences so far; a call that one of them meets is
+        never answered.
     :param heartbeats: key of a server → time of its latest write.
     """
 
@@ -46,6 +48,7 @@
     history: list[Row] = field(default_factory=list)
     compacted_version: int = 0
     fault: str = ''
+    silences: int = 0
     changed: Event = field(default_factory=Event)
     heartbeats: dict[str, float] = field(default_factory=dict)
 
@@ -182,6 +185,7 @@
             self.history.clear()
             self.notify_readers()
             return
+        self.silences += fault == 'silent'
         self.fault = fault
 
     def __call__(self, environ: Environ, start: Any) -> list[bytes]:
@@ -199,7 +203,8 @@
             else:
                 self.write_row(payload)
             return send_json(start, 200, {'schemaVersion': self.version})
-        self.apply_fault()
+        silences = self.silences
+        self.delay_answer(silences)
         if self.fault == 'busy':
             return send_json(start, 503, {})
         if path == '/v1/rows-tx':
@@ -207,15 +212,18 @@
         if path == '/v1/rows-get':
             return send_json(start, 200, self.read_page(query))
         page = self.wait_for_changes(query)
-        self.apply_fault()
+        self.delay_answer(silences)
         return send_json(start, 200 if page else 410, page or {})
 
-    def apply_fault(self) -> None:
-        """Delay a call according to the current fault."""
+    def delay_answer(self, silences: int) -> None:
+        """Delay a call according to the faults since its arrival.
+
+        :param silences: number of silences at its arrival.
+        """
         gevent.sleep(
             SLOW_ANSWER_DELAY_S if self.fault == 'slow' else ANSWER_DELAY_S
         )
-        while self.fault == 'silent':
+        while self.fault == 'silent' or self.silences != silences:
             gevent.sleep(HEARTBEAT_S)
 
     def answer_transaction(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -122,6 +122,23 @@
     assert not check(evidence)
 
 
+# Fails if the soak does not see an entry that stays on an old configuration.
+def test_a_configuration_that_came_into_force_too_late():
+    at = 100 - MAX_CONFIGURATION_DELAY_S
+    published = [PublishedConfiguration(at, frozenset({'key'}), 7)]
+    evidence = make_evidence(make_record(), [make_run()], (), published)
+    evidence.in_force['entry-0'] = [(at - 9, 5), (at + 1, 6), (100.5, 7)]
+    violations = check(evidence)
+    assert [line.partition(':')[0] for line in violations] == [
+        'late_configurations'
+    ]
+    evidence.faults.append(Fault('store-silent', 'store', 96, 97))
+    assert not check(evidence)
+    evidence.faults.clear()
+    evidence.in_force['entry-0'] = [(at - 9, 5), (at + 1, 6), (99.5, 7)]
+    assert not check(evidence)
+
+
 def test_a_server_that_left_long_ago():
     left = {'server': 's', 'draining': 1, 'at': 100.1 - MAX_DRAIN_DELAY_S - 0.5}
     evidence = make_evidence(make_record(), [make_run(), left])
