--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -153,6 +153,13 @@
         """
         return self.control.fence
 
+    def apply_rules(self, rules: MapRules) -> None:
+        """Apply new rules; with another number of experts the term ends."""
+        if rules.limits.experts != self.limits.experts:
+            self.must_resign = True
+        self.limits = rules.limits
+        self.pressure.limits = rules.service_limits
+
     def set_former_leader(
         self, former: LeaderRow, addresses: dict[int, str]
     ) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -17,8 +17,9 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthmessages import HELLO
 from comfreyarch_daemon.healthreporter import HealthReporter
-from comfreyarch_daemon.leadership import LeaderRow, MapRules, Term
+from comfreyarch_daemon.leadership import LeaderRow, Term
 from comfreyarch_daemon.mapleader import READINGS_PER_S, MapLeader
+from comfreyarch_daemon.maprules import MapRulesReader
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.monitoringpages import MetricsPage, make_page_server
 from comfreyarch_daemon.nodeprocess import NodeControls, run_node
@@ -112,7 +113,7 @@
     :param addresses: datagram addresses of the group's sidecars, by rank.
     :param peer_states: the last state report of each other rank.
     :param leader: the map leader while this sidecar leads the group, else None.
-    :param rules: the rules for the group's maps, None until they are read.
+    :param rules: reads the rules for the group's maps.
     """
 
     __slots__ = (
@@ -168,7 +169,11 @@
         self.leadership = adapter.open_leadership(settings)
         self.peer_directory = adapter.open_peers(settings)
         self.leader: MapLeader | None = None
-        self.rules: MapRules | None = None
+        self.rules = MapRulesReader(
+            lambda: adapter.read_map_rules(settings),
+            lambda: self.leader.apply_rules if self.leader else None,
+            self.log,
+        )
         self.leader_view = LeaderView(
             process_started_at=boot_time(), leader_seen_at=boot_time()
         )
@@ -185,6 +190,7 @@
         self.datagrams.start()
         self.agent.start()
         self.settings_file.start()
+        self.rules.start()
         self.workers = [
             gevent.spawn(self.find_peers),
             gevent.spawn(self.run_leadership),
@@ -196,6 +202,7 @@
             worker.kill(block=False)
         if self.leader is not None:
             self.leader.close()
+        self.rules.close()
         self.settings_file.close()
         self.agent.close()
         self.datagrams.close()
@@ -477,14 +484,16 @@
         """Try to become the leader, and start leading on success."""
         self.leader_view.leader_seen_at = boot_time()
         try:
-            if self.rules is None:
-                self.rules = self.adapter.read_map_rules(self.settings)
+            rules = self.rules.current()
+            if rules is None:
+                # No term is needed for a service without experts.
+                return
             former = self.leadership.read(own_state.group)
             fence = self.try_claim(former, own_state)
         except StoreCallFailed as error:
             self.log.write('claim_failed', why=str(error))
             return
-        if fence is None or self.rules is None:
+        if fence is None:
             return
         self.log.write(
             'lead', group=own_state.group, fence=fence, former=former.fence
@@ -495,7 +504,7 @@
         self.leader = MapLeader(
             own_state,
             fence,
-            self.rules,
+            rules,
             self.leadership,
             self.send_order,
             self.adapter.open_engine,
