Ignore entries of upstreams that are older than what is known

A store that is restored from an older copy lists upstreams as they were: one that has announced that it leaves is ready again, one that has left is back, and an address goes back to the upstream that had it before. An upstream's own start (born) and sequence now order what it says of itself; what was removed is remembered, and must report again to be back. Of two upstreams with one address, the one that started last keeps it.

--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -4,6 +4,10 @@
 unreachable and are written again soon after it recovers. For a grace period
 after the recovery, a missing entry is therefore kept; it is dropped if it is
 still missing at the end.
+
+A store that is restored from an older copy lists upstreams as they were: one
+that has left since, or is leaving, as ready. What an upstream says of itself is
+ordered by its start and its own sequence, so an older entry is not taken.
 """
 
 from collections.abc import Iterable
@@ -12,6 +16,8 @@
 # Grace period: live upstreams are listed again about 2 s after the store
 # recovers.
 LAPSE_GRACE_S = 2.2
+# Removed upstreams remembered; the oldest are forgotten first.
+MAX_REMOVED = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,7 +28,10 @@
     :param address: ``host:port``.
     :param leaving: whether the upstream drains.
     :param cold_s: seconds for which it is still slow after its start.
-    :param listed: version of the store at which the entry was written.
+    :param listed: position of the store at which the entry was written.
+    :param started_ms: Unix time in ms at which the upstream says it started, 0
+        if unknown.
+    :param sequence: number of its report, which starts anew with it.
     """
 
     name: str
@@ -33,6 +42,18 @@
     leaving: bool
     cold_s: float = 0
     listed: int = 0
+    started_ms: int = 0
+    sequence: int = 0
+
+    def is_replaced_by(self, other: 'UpstreamEntry') -> bool:
+        """Check whether another upstream has taken over the address.
+
+        :returns: True if the other one started later; if that is unknown, if
+            its entry was written later.
+        """
+        if self.started_ms and other.started_ms:
+            return other.started_ms > self.started_ms
+        return other.listed >= self.listed
 
 
 @dataclass(slots=True)
@@ -40,6 +61,7 @@
     """Maintain the upstreams that an entry may send requests to.
 
     :param entries: the usable upstreams, by name.
+    :param removed: last entries of the upstreams that were removed, by name.
     :param missing: names that the list no longer has, kept for the grace
         period.
     :param is_store_down: whether the store does not answer.
@@ -47,6 +69,7 @@
     """
 
     entries: dict[str, UpstreamEntry] = field(default_factory=dict)
+    removed: dict[str, UpstreamEntry] = field(default_factory=dict)
     missing: set[str] = field(default_factory=set)
     is_store_down: bool = False
     grace_until: float = 0
@@ -70,21 +93,45 @@
             self.change(entry)
 
     def change(self, entry: UpstreamEntry) -> None:
-        """Add or update one entry.
+        """Add or update one entry, unless it is older than what is known.
 
         Of several entries with the same address only the newest is kept: the
         others belong to upstreams that ended.
         """
+        if self.is_outdated(entry):
+            return
         for other in list(self.entries.values()):
             if other.name == entry.name or other.address != entry.address:
                 continue
-            if other.listed > entry.listed:
+            if not other.is_replaced_by(entry):
                 return
-            self.entries.pop(other.name)
-            self.missing.discard(other.name)
+            self.forget(other.name)
         self.missing.discard(entry.name)
+        self.removed.pop(entry.name, None)
         self.entries[entry.name] = entry
 
+    def is_outdated(self, entry: UpstreamEntry) -> bool:
+        """Check whether an entry is older than one that was seen before.
+
+        :returns: False if the upstream has started anew, or states no sequence.
+        """
+        known = self.entries.get(entry.name)
+        former = known or self.removed.get(entry.name)
+        if former is None or former.started_ms != entry.started_ms:
+            return False
+        if known is None:
+            # Once removed, the upstream must have reported since.
+            return 0 < entry.sequence <= former.sequence
+        return 0 < entry.sequence < known.sequence
+
+    def forget(self, name: str) -> None:
+        """Remove an entry, and remember what it said last."""
+        self.removed.pop(name, None)
+        self.removed[name] = self.entries.pop(name)
+        self.missing.discard(name)
+        if len(self.removed) > MAX_REMOVED:
+            self.removed.pop(next(iter(self.removed)))
+
     def drop(self, name: str, now: float) -> None:
         """Remove one entry, or mark it as missing in the grace period.
 
@@ -98,8 +145,7 @@
         if self.is_store_down:
             self.grace_until = max(self.grace_until, now + LAPSE_GRACE_S)
         if entry.leaving or now >= self.grace_until:
-            self.entries.pop(name)
-            self.missing.discard(name)
+            self.forget(name)
             return
         self.missing.add(name)
 
@@ -112,8 +158,7 @@
             return []
         expired = sorted(self.missing)
         for name in expired:
-            self.entries.pop(name, None)
-        self.missing.clear()
+            self.forget(name)
         return expired
 
 
--- a/tests/test_upstreamlist.py
+++ b/tests/test_upstreamlist.py
@@ -81,3 +81,52 @@
     assert set(upstreams.entries) == {'one'}
     assert upstreams.expire(10 + LAPSE_GRACE_S / 2) == []
     assert upstreams.expire(10 + LAPSE_GRACE_S) == ['one']
+
+
+READY = replace(UPSTREAM_1, started_ms=1000, sequence=5)
+LEAVING = replace(READY, leaving=True, sequence=7, listed=3)
+
+
+# Fails if a restored store makes an upstream ready again that is leaving.
+def test_an_entry_of_an_older_copy_does_not_undo_leaving():
+    upstreams = make_upstream_list()
+    upstreams.change(READY)
+    upstreams.change(LEAVING)
+    upstreams.change(replace(READY, listed=9))
+    assert upstreams.entries['one'].leaving
+
+
+# Fails if a restored store brings back an upstream that has left.
+def test_an_entry_of_an_older_copy_does_not_bring_back_what_left():
+    upstreams = make_upstream_list()
+    upstreams.change(LEAVING)
+    upstreams.drop('one', 10)
+    upstreams.change(replace(LEAVING, listed=9))
+    upstreams.change(replace(READY, listed=9))
+    assert not upstreams.entries
+
+
+def test_an_upstream_that_was_removed_and_reports_again_is_back():
+    upstreams = make_upstream_list()
+    upstreams.change(READY)
+    upstreams.drop('one', 10)
+    upstreams.change(replace(READY, sequence=8, listed=9))
+    assert set(upstreams.entries) == {'one'}
+
+
+def test_an_upstream_that_started_anew_under_its_name_is_ready():
+    upstreams = make_upstream_list()
+    upstreams.change(LEAVING)
+    restarted = replace(READY, started_ms=2000, sequence=1, listed=9)
+    upstreams.change(restarted)
+    assert upstreams.entries['one'] == restarted
+
+
+# Fails if a restored store gives an address back to the upstream that had it
+# before.
+def test_the_upstream_that_started_last_keeps_its_address():
+    upstreams = make_upstream_list()
+    newer = replace(READY, name='new', started_ms=3000, listed=4)
+    upstreams.change(newer)
+    upstreams.change(replace(READY, listed=9))
+    assert set(upstreams.entries) == {'new'}
