Order what the store says by its era, then by its version

The former code held the versions of the restored store against those before: each full read was stale until the counter had passed its former mark, so no change came into force, and a leader elected again had a lower fence, which the sidecars refuse.

A position now holds era and version in one integer, ordered by era first, made by the adapter where answers are decoded. Trackers, gossip, relays, floors and fences compare it as they compared versions; in era 0 it equals the version, so entries of earlier releases understand it. Changes after a position of another era mean a full read; an answer of an older era is ignored; a conditional write across eras counts as unknown. After a restoration the entry keeps the highest configuration that it knows, revocations included, until the operator's rewrite arrives, and upstreams that the copy lacks for the grace of an outage.

Weighed: two fields (era, version) in each message and comparison (many places that could forget one; old entries would not read them).

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/requesttrace.py
@@ -24,6 +24,7 @@
         'stopping',
         'store_back',
         'store_lost',
+        'store_restored',
         'table_behind',
         'table_confirmed',
         'table_relayed',
--- a/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
@@ -1,5 +1,8 @@
 """Track the versions of one store table, which never decrease.
 
+Versions are positions of the store, which rise even if it is restored from an
+older copy (``storeposition``).
+
 The table is read in full once, then its changes are long-polled. Reads
 may be stale and the store may lose its change history. A row is therefore
 accepted only if it is newer than its known version, and a full read only if
@@ -9,6 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from comfreyarch_core.storeposition import era_of
+
 # Tombstones kept; the oldest are dropped first.
 MAX_TOMBSTONES = 1000
 
@@ -69,6 +74,15 @@
     tombstones: dict[str, int] = field(default_factory=dict)
     needs_full_read: bool = True
 
+    def is_restored(self, state: TableState) -> bool:
+        """Check whether the store was restored since the last read.
+
+        :returns: False for the first read.
+        """
+        return self.version >= 0 and era_of(state.version) > era_of(
+            self.version
+        )
+
     def read(self, state: TableState) -> Change | None:
         """Apply a full read.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -12,6 +12,7 @@
 
 import gevent
 
+from comfreyarch_core.storeposition import era_of
 from comfreyarch_core.tablefreshness import (
     RUN_CHECK_INTERVAL_S,
     Confirmation,
@@ -169,6 +170,15 @@
             table.close()
         self.on_confirmed()
 
+    def era(self) -> int:
+        """Return the highest era of the store seen in any table.
+
+        :returns: 0 for a store that was never restored.
+        """
+        return max(
+            era_of(watch.tracker.version) for watch in self.watches.values()
+        )
+
     def confirmations(self) -> dict[str, Confirmation]:
         """Return what this node can confirm to its peers.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from comfreyarch_core.storeposition import era_of, version_of
 from comfreyarch_core.tablefreshness import make_table_freshness
 from comfreyarch_core.tabletracker import (
     Change,
@@ -235,11 +236,11 @@
         """
         if state.version <= self.tracker.version:
             return False
+        is_restored = self.tracker.is_restored(state)
         change = self.tracker.read(state)
         if change is None:
             return False
-        self.record_newest(state)
-        self.listener.apply_change(change)
+        self.apply_table(state, change, is_restored=is_restored)
         if not self.is_unreachable:
             # The poll should have returned these changes.
             self.restart_poll()
@@ -282,6 +283,7 @@
         """
         started_at = boot_time()
         state = self.table.read()
+        is_restored = self.tracker.is_restored(state)
         change = self.tracker.read(state)
         if change is None:
             self.log.write(
@@ -294,7 +296,31 @@
             return
         self.mark_reachable()
         self.freshness.confirm(started_at)
+        self.apply_table(state, change, is_restored=is_restored)
+
+    def apply_table(
+        self,
+        state: TableState,
+        change: Change,
+        *,
+        is_restored: bool,
+    ) -> None:
+        """Apply what a whole table changes.
+
+        :param is_restored: whether the store was restored from an older copy.
+            Rows that it lost will be written again, as after an outage.
+        """
+        self.metrics.gauge('store_era', era_of(state.version))
         self.record_newest(state)
+        if is_restored:
+            self.log.write(
+                'store_restored',
+                table=self.name,
+                era=era_of(state.version),
+                version=version_of(state.version),
+            )
+            self.listener.store_lost()
+            self.listener.store_back()
         self.listener.apply_change(change)
 
     def record_newest(self, state: TableState) -> None:
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -1,10 +1,16 @@
 """Simulate a store and entries that copy its tables, in virtual time."""
 
+from dataclasses import replace
 from functools import partial
 
 from direct_world import RecordingLog
 from virtual_time import VirtualClock
 
+from comfreyarch_core.storeposition import (
+    era_of,
+    make_position,
+    version_of,
+)
 from comfreyarch_core.tabletracker import TableRow, TableState
 from comfreyarch_daemon import tablesync, tablewatch
 from comfreyarch_daemon.metrics import Metrics
@@ -52,6 +58,8 @@
         self.version = 1
         self.rows = {}
         self.oldest_known = 0
+        self.era = 0
+        self.copies = {}
         self.calls = 0
 
     def write(self, key, content):
@@ -59,15 +67,31 @@
         self.version += 1
         self.rows[key] = TableRow(key, content, self.version)
 
+    def save_copy(self, name):
+        """Save a copy to restore."""
+        self.copies[name] = (self.version, dict(self.rows))
+
+    def restore(self, name):
+        """Return to a copy; versions go back, and the era rises."""
+        self.version, rows = self.copies[name]
+        self.rows = dict(rows)
+        self.era += 1
+
     def forget_history(self):
         """Forget all changes up to now."""
         self.oldest_known = self.version
 
     def state(self, after=-1):
-        """Return the rows written after a version."""
+        """Return the rows written after a version, with their positions."""
         rows = [row for row in self.rows.values() if row.version > after]
         rows.sort(key=lambda row: row.version)
-        return TableState(tuple(rows), self.version)
+        positioned = (
+            replace(row, version=make_position(self.era, row.version))
+            for row in rows
+        )
+        return TableState(
+            tuple(positioned), make_position(self.era, self.version)
+        )
 
     def fault(self, entry, how):
         """Find a fault of one kind that concerns an entry now."""
@@ -100,12 +124,16 @@
         """Wait for changes."""
 
         def answer():
-            if after < self.store.oldest_known:
+            store = self.store
+            known = version_of(after)
+            if era_of(after) != store.era or known > store.version:
+                raise HistoryGone('restored')
+            if known < store.oldest_known:
                 raise HistoryGone('history')
-            state = self.store.state(after)
+            state = store.state(known)
             return state if state.rows else None
 
-        return self.call(wait_s, answer, after)
+        return self.call(wait_s, answer)
 
     def is_silent(self):
         """Check whether the store does not answer on this connection."""
@@ -114,7 +142,7 @@
         dead = self.store.fault(self.entry, 'dead')
         return bool(dead) and self.opened_at < dead.start
 
-    def call(self, wait_s, answer, after=-1):
+    def call(self, wait_s, answer):
         """Make one call and wait for its answer."""
         store, clock = self.store, self.clock
         store.calls += 1
@@ -143,7 +171,9 @@
                 if found is not None:
                     return found
                 if clock.now >= started_at + wait_s:
-                    return TableState((), store.version)
+                    return TableState(
+                        (), make_position(store.era, store.version)
+                    )
             clock.sleep(STEP_S)
 
 
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -140,3 +140,23 @@
         fleet.clock.spawn_later(at, fleet.store.forget_history)
     fleet.run(storm(6, 14, 0.25), 20)
     assert not late(fleet, range(4), -CONTACT_S)
+
+
+# Fails if entries hold the versions of a restored store against those before, so
+# that they take no change until the store has passed its former version.
+@pytest.mark.parametrize('entries', [1, 4])
+@pytest.mark.parametrize('away_s', [0, 1.5])
+@pytest.mark.parametrize('lost_s', [0.1, 3.0])
+def test_a_restored_store_delays_no_change_beyond_the_bound(
+    monkeypatch, entries, away_s, lost_s
+):
+    restored_at = FAULT_AT + away_s
+    fault = Fault('refusing', FAULT_AT, restored_at)
+    fleet = SimulatedFleet(monkeypatch, entries, [fault])
+    store = fleet.store
+    fleet.clock.spawn_later(FAULT_AT - lost_s, store.save_copy, 'copy')
+    fleet.clock.spawn_later(restored_at, store.restore, 'copy')
+    rewritten_at = restored_at + 0.5
+    changes = [*storm(4, FAULT_AT, 0.25), *storm(rewritten_at, 24, 0.9)]
+    fleet.run(changes, 30)
+    assert not late(fleet, range(entries), restored_at)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -17,9 +17,11 @@
     ReleaseStep,
 )
 from comfreyarch_core.routetable import RouteKind
+from comfreyarch_core.storeposition import make_position
 from comfreyarch_daemon.headercodec import SendContext
+from comfreyarch_daemon.leadership import LeaderRow, Term
 from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.tablewatch import StoreCallFailed
+from comfreyarch_daemon.tablewatch import HistoryGone, StoreCallFailed
 from comfreyarch_platform.bootfile import (
     read_entry_settings,
     read_rank_settings,
@@ -32,7 +34,12 @@
     decode_upstream,
 )
 from comfreyarch_platform.engines import decode_state, encode_order
-from comfreyarch_platform.tables import decode_page
+from comfreyarch_platform.jsoncalls import JsonAnswer
+from comfreyarch_platform.tables import (
+    PlatformLeadership,
+    PlatformTable,
+    decode_page,
+)
 
 CONFIGURATION = {
     'version': 7,
@@ -401,3 +408,109 @@
     path.write_text(content)
     with pytest.raises(SettingsError, match=str(path)):
         read_entry_settings(path)
+
+
+class ScriptedConnection:
+    """Answer the store's calls from a script of status, era and fields."""
+
+    address = 'store:1'
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.targets = []
+
+    def call(self, _method, target, _body, _timeout_s):
+        """Return the next answer."""
+        self.targets.append(target)
+        status, era, fields = self.answers.pop(0)
+        headers = [('Store-Era', str(era))] if era is not None else []
+        return JsonAnswer(status, headers, json.dumps(fields).encode())
+
+    def close(self):
+        """Do nothing."""
+
+
+def page(version, *row_versions):
+    """Make the fields of a page of rows."""
+    rows = [
+        {'key': f'k{row}', 'value': '', 'schemaVersion': row}
+        for row in row_versions
+    ]
+    return {'rows': rows, 'schemaVersion': version, 'hasMore': False}
+
+
+def open_table(*answers):
+    """Open a table with a scripted connection."""
+    table = PlatformTable('store:1', 'op')
+    table.store.connection = ScriptedConnection(*answers)
+    return table
+
+
+def test_positions_rise_with_the_era():
+    table = open_table((200, None, page(9, 4)), (200, 1, page(3, 2)))
+    before, after = table.read(), table.read()
+    assert before.version == 9
+    assert after.version > before.version
+    assert after.rows[0].version > before.rows[0].version
+
+
+# Fails if changes after a version of the former history are taken for changes
+# since then, as the store gives its versions out again.
+def test_changes_of_another_era_require_a_full_read():
+    table = open_table((200, 1, page(30, 28)))
+    with pytest.raises(HistoryGone):
+        table.changes(20, 1)
+
+
+def test_changes_in_a_later_era_are_called_by_version():
+    table = open_table((200, 2, page(30, 28)))
+    changes = table.changes(make_position(2, 20), 1)
+    assert 'afterRevision=20' in table.store.connection.targets[0]
+    assert changes.version == make_position(2, 30)
+
+
+def test_an_answer_of_an_older_era_is_ignored():
+    table = open_table((200, 1, page(30, 28)))
+    with pytest.raises(StoreCallFailed, match='era'):
+        table.changes(make_position(2, 20), 1)
+
+
+def test_a_table_read_while_the_store_is_restored_is_read_again():
+    first = {**page(30, 28), 'hasMore': True}
+    table = open_table((200, 0, first), (200, 1, page(9, 4)))
+    with pytest.raises(StoreCallFailed, match='restored'):
+        table.read()
+
+
+# Fails if a fence goes down, so that sidecars refuse the orders of a new leader.
+def test_the_fence_of_a_claim_after_a_restoration_is_higher():
+    leadership = PlatformLeadership('store:1')
+    leadership.store.connection = ScriptedConnection(
+        (200, 0, {'schemaVersion': 500}), (200, 1, {'schemaVersion': 12})
+    )
+    before = leadership.claim('g', Term('a', 1), LeaderRow(0))
+    after = leadership.claim('g', Term('a', 1), LeaderRow(0))
+    assert after > before
+
+
+# Fails if a claim that met another row of the same version counts as won.
+def test_a_claim_on_a_condition_of_another_era_is_unknown():
+    leadership = PlatformLeadership('store:1')
+    leadership.store.connection = ScriptedConnection(
+        (200, 1, {'schemaVersion': 12})
+    )
+    with pytest.raises(StoreCallFailed, match='restored'):
+        leadership.claim('g', Term('a', 1), LeaderRow(7))
+
+
+@pytest.mark.parametrize('era', ['x', '-1', '1.5'])
+def test_an_invalid_era_counts_as_no_answer(era):
+    table = open_table((200, era, page(9, 4)))
+    with pytest.raises(StoreCallFailed, match='store-era'):
+        table.read()
+
+
+@pytest.mark.parametrize('born', [None, 'x', -1, True, 1e300])
+def test_a_start_that_is_no_number_is_unknown(born):
+    document = json.dumps({**SERVER, 'born': born}).encode()
+    assert decode_upstream('i', document, 1).started_ms == 0
