Elect a leader and register again after the store was restored

A stale read ends no term. Entries register as soon as they see a new era, sidecars once a minute; their rows would otherwise count as those of stopped nodes after 200 s, restored or not. Two of the three new tests fail on the former code.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -62,6 +62,8 @@
 class DirectNode:
     """Own a direct entry with its servers, tables and background tasks.
 
+    :param registered_era: era of the store in which this entry registered.
+    :param registration_due: set to register at once.
     :param sidecars: addresses of the known sidecars.
     :param stopping: whether a graceful shutdown has begun.
     :param stopped: set once all components are stopped.
@@ -77,6 +79,8 @@
         'metrics',
         'path',
         'peer_directory',
+        'registered_era',
+        'registration_due',
         'settings',
         'settings_file',
         'sidecar_directory',
@@ -148,6 +152,8 @@
         )
         self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
+        self.registered_era = 0
+        self.registration_due = Event()
         self.stopped = Event()
         self.settings_file = SettingsFileWatcher(path, self.reload)
         self.stopping = False
@@ -196,12 +202,20 @@
                 self.send_hello()
                 self.entry.forwarder.crash_guard.resend_suspects()
             self.upstreams.tick()
+            self.check_era()
             entries = self.load_gossip.count_entries()
             if entries is not None:
                 self.entry.forwarder.entries = entries
             self.tables.report_ages()
             self.entry.forwarder.pool.trim()
 
+    def check_era(self) -> None:
+        """Register again if the store was restored, as it may lack this entry."""
+        era = self.tables.era()
+        if era > self.registered_era:
+            self.registered_era = era
+            self.registration_due.set()
+
     def refresh_peers(self) -> None:
         """Register this entry and list the others, periodically."""
         pause = FIRST_RETRY_S
@@ -223,7 +237,8 @@
             self.send_hello()
             self.log.write('peers_listed', peers=len(members))
             pause = FIRST_RETRY_S
-            gevent.sleep(PEER_LIST_INTERVAL_S)
+            self.registration_due.wait(PEER_LIST_INTERVAL_S)
+            self.registration_due.clear()
 
     def send_hello(self) -> None:
         """Ask the sidecars to report the health of their engines."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -478,14 +478,21 @@
     def is_still_leader(self) -> bool:
         """Check in the store that this term has not ended.
 
-        :returns: False if another leader was elected, or if the store is
-            unavailable.
+        A store that was restored from an older copy may have lost the term. The
+        row is then missing or has a higher fence, of the new era, and a leader
+        must be elected again.
+
+        :returns: False if another leader was elected, if the term is lost, or
+            if the store is unavailable.
         """
         try:
-            return self.leadership.read(self.group).fence == self.fence
+            fence = self.leadership.read(self.group).fence
         except StoreCallFailed as error:
             self.log.write('leadership_unknown', why=str(error))
             return False
+        if fence > self.fence or fence == 0:
+            self.must_resign = True
+        return fence == self.fence
 
 
 def find_no_map(_state: EngineState, _experts: int) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -66,6 +66,9 @@
 # Maximum number of successful lookups. They end early once the addresses of all
 # ranks are known.
 MAX_PEER_LOOKUPS = 2
+# Interval at which a sidecar writes its row again: the store may have lost it, and
+# rows of a few minutes of age count as those of stopped nodes.
+REGISTER_INTERVAL_S = 60.0
 # Interval at which a starting sidecar checks for the engine's first state.
 ENGINE_CHECK_INTERVAL_S = 0.5
 # Interval at which a state is resent if nothing else than its step or request
@@ -223,10 +226,10 @@
         self.log.write('reload', changed=settings != self.settings)
 
     def find_peers(self) -> None:
-        """Register this sidecar, then look up the others of its group.
+        """Register this sidecar, and look up the others of its group.
 
         The sidecars of a group start at the same time, so the others are looked
-        up after a delay.
+        up after a delay. The registration is repeated periodically.
         """
         own_state = self.wait_for_engine()
         self.retry_until_available(self.register, own_state)
@@ -236,6 +239,9 @@
                 break
             self.retry_until_available(self.look_up_addresses, own_state)
         self.log.write('peers_listed', peers=len(self.addresses))
+        while True:
+            gevent.sleep(REGISTER_INTERVAL_S)
+            self.retry_until_available(self.register, self.wait_for_engine())
 
     def register(self, own_state: EngineState) -> None:
         """Write this sidecar's address to the table of sidecars.
--- a/tests/test_rank_node.py
+++ b/tests/test_rank_node.py
@@ -8,6 +8,7 @@
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits
 from comfreyarch_core.mapplan import MapLimits
+from comfreyarch_core.storeposition import make_position
 from comfreyarch_daemon import maprules, ranknode
 from comfreyarch_daemon.leadership import LeaderRow, MapRules
 from comfreyarch_daemon.maprules import MAX_RULES_AGE_S
@@ -116,3 +117,26 @@
     clock[0] += MAX_RULES_AGE_S + 1
     node.claim_leadership(make_state())
     assert node.leader.pressure.limits == NEW_RULES.service_limits
+
+
+# Fails if a leader whose term a restored store has lost goes on to lead, and
+# never changes a map again.
+@pytest.mark.parametrize('fence', [0, make_position(1, 3)])
+def test_a_leader_whose_term_the_store_lost_resigns(monkeypatch, clock, fence):
+    store = FakeStore(RULES)
+    node = make_node(monkeypatch, store)
+    node.claim_leadership(make_state())
+    assert node.leader.is_still_leader()
+    store.fence = fence
+    assert not node.leader.is_still_leader()
+    assert node.leader.must_resign
+
+
+def test_a_stale_read_of_the_row_ends_no_term(monkeypatch, clock):
+    store = FakeStore(RULES)
+    store.fence = 8
+    node = make_node(monkeypatch, store)
+    node.claim_leadership(make_state())
+    store.fence = 4
+    assert not node.leader.is_still_leader()
+    assert not node.leader.must_resign
