Restore the soak's store from an older copy

The stand-in of the store saves a copy each half second, returns to one up to 4 s old on command, gives versions out again and states Store-Era; what the operator wrote is written again, servers' rows with their next heartbeat.

--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -69,6 +69,7 @@
         self.faults: list[Fault] = []
         self.published: list[PublishedConfiguration] = []
         self.version = 0
+        self.last_configuration: dict[str, Any] | None = None
         self.running: list[gevent.Greenlet] = []
 
     def fault_methods(self) -> dict[str, Callable[[float], None]]:
@@ -95,6 +96,7 @@
             'store': self.impair_store,
             'store-pause': self.pause_store,
             'store-silence': self.silence_store,
+            'store-restore': self.restore_store,
             'reform': self.reform_group,
             'late-orders': self.delay_orders,
             'burst': self.raise_request_rate,
@@ -173,6 +175,7 @@
         spare = {'spare': 'team-b'} if self.rng.random() < 0.8 else {}
         keys = {'key-a': 'team-a', 'key-b': 'team-b', **spare}
         row = make_configuration(self.version, keys, self.rng)
+        self.last_configuration = row
         at = self.fleet.write_row('op', 'config', row)
         self.published.append(
             PublishedConfiguration(at, frozenset(keys), self.version)
@@ -292,6 +295,21 @@
         self.fleet.set_store_fault('')
         self.publish_storm(2 * MAX_FAULT_S)
 
+    def restore_store(self, duration_s: float) -> None:
+        """Make the store unreachable, then return from an older copy.
+
+        The operator writes the last configuration again, servers do so by
+        themselves, and changes follow.
+        """
+        self.record_fault('store-restored', 'store', duration_s)
+        self.fleet.set_store_fault('busy')
+        gevent.sleep(duration_s)
+        self.fleet.set_store_fault('restore')
+        self.fleet.set_store_fault('')
+        if self.last_configuration is not None:
+            self.fleet.write_row('op', 'config', self.last_configuration)
+        self.publish_storm(2 * MAX_FAULT_S)
+
     def list_groups(self) -> list[str]:
         """Return the names of the rank groups."""
         return [
--- a/soak/server.py
+++ b/soak/server.py
@@ -68,6 +68,8 @@
     :param row: the server's row in the store.
     :param runs_fd: descriptor of the file that receives one line per event.
     :param group: the rank group, None for a plain server.
+    :param heartbeats: number of rows written so far, its sequence.
+    :param born: Unix time of the start, in ms.
     """
 
     name: str
@@ -81,6 +83,7 @@
     active: int = 0
     waiting: int = 0
     heartbeats: int = 0
+    born: int = field(default_factory=lambda: int(time.time() * 1000))
     slots: Any = None
     listener: Any = None
 
@@ -100,6 +103,8 @@
     def write_row(self, row: dict[str, Any] | None) -> None:
         """Write the row to the store, or remove it if it is None."""
         self.heartbeats += 1
+        if row is not None:
+            row = {**row, 'born': self.born, 'sequence': self.heartbeats}
         body = json.dumps({'key': self.name, 'row': row})
         client = HTTPClient.from_url(self.store)
         try:
--- a/soak/store.py
+++ b/soak/store.py
@@ -5,6 +5,7 @@
 import random
 import sys
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 from urllib.parse import parse_qs
@@ -19,6 +20,11 @@
 SLOW_ANSWER_DELAY_S = 0.3
 LATE_COMMIT_DELAY_RANGE_S = (1.0, 4.0)
 PAGE_ROWS = 500
+# Time between two copies that the store can be restored from, and their number.
+COPY_INTERVAL_S = 0.5
+MAX_COPIES = 8
+# Fields of a server's row that change without a new version.
+UNVERSIONED_FIELDS = frozenset(('sequence',))
 REASON_PHRASES = {
     200: 'OK',
     403: 'Forbidden',
@@ -40,6 +46,8 @@
         none.
     :param silences: number of silences so far; a call that one of them meets is
         never answered.
+    :param era: how often the store was restored from a copy.
+    :param copies: version and rows of the latest copies, oldest first.
     :param heartbeats: key of a server → time of its latest write.
     """
 
@@ -49,6 +57,10 @@
     compacted_version: int = 0
     fault: str = ''
     silences: int = 0
+    era: int = 0
+    copies: deque[tuple[int, dict[tuple[str, str], Row]]] = field(
+        default_factory=lambda: deque(maxlen=MAX_COPIES)
+    )
     changed: Event = field(default_factory=Event)
     heartbeats: dict[str, float] = field(default_factory=dict)
 
@@ -107,6 +119,27 @@
                     self.heartbeats.pop(key)
                     self.write_row({'key': key, 'row': None})
 
+    def save_copies(self) -> None:
+        """Save copies periodically."""
+        while True:
+            gevent.sleep(COPY_INTERVAL_S)
+            rows = {key: dict(row) for key, row in self.rows.items()}
+            self.copies.append((self.version, rows))
+
+    def restore(self) -> None:
+        """Return to the oldest copy; versions are given out again."""
+        if not self.copies:
+            return
+        self.version, rows = self.copies[0]
+        self.rows = dict(rows)
+        self.copies.clear()
+        self.era += 1
+        self.compacted_version = 0
+        self.history = [
+            row for row in self.history if row['schemaVersion'] <= self.version
+        ]
+        self.notify_readers()
+
     def write_row(self, payload: dict[str, Any]) -> None:
         """Write a row of the operator or of a server, without a transaction."""
         table, key, row = (
@@ -122,7 +155,9 @@
         else:
             content = base64.b64encode(json.dumps(row).encode()).decode()
         current = self.rows.get((table, key))
-        if (current or {}).get('value') == content:
+        if compared_fields(current) == compared_fields({'value': content}):
+            if current is not None and content is not None:
+                current['value'] = content
             return
         self.version += 1
         self.put(table, key, content)
@@ -150,7 +185,7 @@
         after = int(query['afterRevision'])
         end = time.monotonic() + int(query['waitMs']) / 1000
         while True:
-            if after < self.compacted_version:
+            if after < self.compacted_version or after > self.version:
                 return None
             rows = [
                 row
@@ -178,13 +213,17 @@
     def set_fault(self, fault: str) -> None:
         """Start a fault, or end it with an empty name.
 
-        ``forget`` compacts the history once and does not last.
+        ``forget`` compacts the history once, ``restore`` returns to a copy once;
+        they do not last.
         """
         if fault == 'forget':
             self.compacted_version = self.version
             self.history.clear()
             self.notify_readers()
             return
+        if fault == 'restore':
+            self.restore()
+            return
         self.silences += fault == 'silent'
         self.fault = fault
 
@@ -202,18 +241,34 @@
                 self.set_fault(payload['fault'])
             else:
                 self.write_row(payload)
-            return send_json(start, 200, {'schemaVersion': self.version})
+            return self.send(start, 200, {'schemaVersion': self.version})
         silences = self.silences
         self.delay_answer(silences)
         if self.fault == 'busy':
-            return send_json(start, 503, {})
+            return self.send(start, 503, {})
         if path == '/v1/rows-tx':
             return self.answer_transaction(payload, start)
         if path == '/v1/rows-get':
-            return send_json(start, 200, self.read_page(query))
+            return self.send(start, 200, self.read_page(query))
         page = self.wait_for_changes(query)
         self.delay_answer(silences)
-        return send_json(start, 200 if page else 410, page or {})
+        return self.send(start, 200 if page else 410, page or {})
+
+    def send(self, start: Any, status: int, fields: Row) -> list[bytes]:
+        """Answer with JSON and the era.
+
+        :returns: the WSGI body.
+        """
+        body = json.dumps(fields).encode()
+        start(
+            f'{status} {REASON_PHRASES[status]}',
+            [
+                ('Content-Type', 'application/json'),
+                ('Content-Length', str(len(body))),
+                ('Store-Era', str(self.era)),
+            ],
+        )
+        return [body]
 
     def delay_answer(self, silences: int) -> None:
         """Delay a call according to the faults since its arrival.
@@ -232,7 +287,7 @@
         """Apply a transaction and answer, unless a fault loses the answer."""
         tables = {row['table'] for row in payload.get('write', [])}
         if tables & {'op', 'servers'}:
-            return send_json(start, 403, {})
+            return self.send(start, 403, {})
         if self.fault == 'late' and random.random() < 0.5:
             gevent.spawn_later(
                 random.uniform(*LATE_COMMIT_DELAY_RANGE_S),
@@ -244,8 +299,8 @@
         if self.fault == 'lost' and random.random() < 0.5:
             raise AnswerLost
         if differing is None:
-            return send_json(start, 200, self.make_page([]))
-        return send_json(start, 412, self.make_page(differing))
+            return self.send(start, 200, self.make_page([]))
+        return self.send(start, 412, self.make_page(differing))
 
 
 class AnswerLost(Exception):
@@ -262,20 +317,22 @@
             super().handle_error(kind, error, trace)
 
 
-def send_json(start: Any, status: int, fields: Row) -> list[bytes]:
-    """Answer with JSON.
+def compared_fields(row: Row | None) -> Any:
+    """Decode the fields of a row whose change gives it a new version.
 
-    :returns: the WSGI body.
+    :returns: None for a row that does not exist.
     """
-    body = json.dumps(fields).encode()
-    start(
-        f'{status} {REASON_PHRASES[status]}',
-        [
-            ('Content-Type', 'application/json'),
-            ('Content-Length', str(len(body))),
-        ],
-    )
-    return [body]
+    content = (row or {}).get('value')
+    if content is None:
+        return None
+    fields = json.loads(base64.b64decode(content))
+    if not isinstance(fields, dict):
+        return fields
+    return {
+        name: known
+        for name, known in fields.items()
+        if name not in UNVERSIONED_FIELDS
+    }
 
 
 def main() -> None:
@@ -283,6 +340,7 @@
     host, _, port = sys.argv[1].rpartition(':')
     store = Store()
     gevent.spawn(store.expire_servers)
+    gevent.spawn(store.save_copies)
     server = WSGIServer(
         (host, int(port)), store, log=None, handler_class=StoreHandler
     )
