Honour what upstreams announce: leaving, and no request for a time

An upstream that leaves says so in its answers (Server-Leaving: 1): this entry sends it nothing from then on, whatever the instance list, health reports or successes say, until a new process has the name; the other entries are told by datagram. An upstream that answers 503 with Retry-After gets no request from this entry until the longest such time is over: no retry, no resumed stream, no probe of the circuit breaker. One method, UpstreamSelector.accepts, decides whether a request may go to an upstream, by these two, pauses and health. Callers whose request no upstream wants in time, waiting ones included, are refused at once, with the earliest end.

Weighed: refusing at once whenever all upstreams hold (a caller with seconds of patience left would be turned away for a hold of 0.2 s; it waits instead). Answers with status 421 are another upstream's and announce nothing.

The path between comfreyarchd's entries and sidecars carries neither yet.

--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -4,7 +4,8 @@
 counts of the other entries. Requests that an upstream reports beyond those
 are strays: they belong to entries that are gone, and their weight decays. A
 request goes to the upstream with the lowest load per slot, and waits if all
-slots are taken. Upstreams that recently failed are paused.
+slots are taken. Upstreams that recently failed are paused; one that announces
+that it leaves, or that it wants no request for a time, gets none.
 """
 
 import math
@@ -12,6 +13,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from comfreyarch_core.announcements import (
+    UpstreamAnnouncements,
+    make_announcements,
+)
 from comfreyarch_core.circuitbreaker import CircuitBreaker, make_circuit_breaker
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
@@ -125,6 +130,7 @@
 
     :param source: random source, seeded by the caller.
     :param availability_zone: the entry's availability zone.
+    :param announcements: what upstreams announced with their answers.
     :param views: known upstreams by name, including leaving ones.
     :param services: upstreams that accept new requests, by service.
     :param pass_times: last reported pass time, by group.
@@ -133,6 +139,9 @@
     source: random.Random
     availability_zone: str
     fleet_load: FleetLoad = field(default_factory=make_fleet_load)
+    announcements: UpstreamAnnouncements = field(
+        default_factory=make_announcements
+    )
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
     circuit_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
@@ -146,11 +155,52 @@
             view = self.views.get(entry.name) or UpstreamView(entry)
             view.entry = entry
             views[entry.name] = view
-            if not entry.leaving:
+            if not self.announcements.is_leaving(entry):
                 services.setdefault(entry.service, []).append(view)
         self.views = views
         self.services = services
 
+    def announced_leaving(self, name: str) -> bool:
+        """Record an upstream's announcement that it leaves.
+
+        :returns: False if that was known, or if it is not listed.
+        """
+        view = self.views.get(name)
+        if view is None or not self.announcements.record_leaving(view.entry):
+            return False
+        self.update_upstreams([known.entry for known in self.views.values()])
+        return True
+
+    def announced_hold(self, name: str, hold_s: float, now: float) -> None:
+        """Record that an upstream wants no request for a time."""
+        self.announcements.record_hold(name, now + hold_s, now)
+
+    def accepts(self, view: UpstreamView, now: float) -> bool:
+        """Check whether an upstream may get new requests.
+
+        :returns: False if it is leaving, paused or unhealthy, or wants none.
+        """
+        return (
+            view.paused_until <= now
+            and self.announcements.hold_end(view.entry.name) <= now
+            and view.is_healthy(now)
+            and not self.announcements.is_leaving(view.entry)
+        )
+
+    def hold_end(self, service: str) -> float:
+        """Return the earliest end of the holds of a service's upstreams.
+
+        :returns: a time; minus infinity if one of them wants requests, infinity
+            if the service has none.
+        """
+        return min(
+            (
+                self.announcements.hold_end(view.entry.name)
+                for view in self.services.get(service, ())
+            ),
+            default=math.inf,
+        )
+
     def circuit_breaker(self, service: str) -> CircuitBreaker:
         """Return the circuit breaker of a service.
 
@@ -176,7 +226,7 @@
         """
         views = self.services.get(service, ())
         return self.circuit_breaker(service).is_open or not any(
-            view.is_healthy(now) and view.paused_until <= now for view in views
+            self.accepts(view, now) for view in views
         )
 
     def total_in_flight(self, view: UpstreamView, now: float) -> float:
@@ -190,9 +240,9 @@
     def has_free_slot(self, view: UpstreamView, now: float) -> bool:
         """Check whether an upstream can start another request immediately.
 
-        :returns: False if it is paused, unhealthy or all slots are taken.
+        :returns: False if it may get no request, or all slots are taken.
         """
-        if view.paused_until > now or not view.is_healthy(now):
+        if not self.accepts(view, now):
             return False
         return self.total_in_flight(view, now) < view.entry.slots
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -184,11 +184,12 @@
         """
         upstreams = list(entries)
         names = {entry.name for entry in upstreams}
-        views = self.forwarder.selector.views
-        for name in views.keys() - names:
-            if not views[name].entry.leaving:
+        selector = self.forwarder.selector
+        for name in selector.views.keys() - names:
+            entry = selector.views[name].entry
+            if not selector.announcements.is_leaving(entry):
                 self.forwarder.crash_guard.record_upstream_death(name)
-        self.forwarder.selector.update_upstreams(upstreams)
+        selector.update_upstreams(upstreams)
         self.dispatcher.serve_queues()
         self.forwarder.pool.keep_only(names)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -41,6 +41,8 @@
 )
 from comfreyarch_daemon.upstreamcalls import boot_time
 
+# Tag of the messages with an upstream that announces that it leaves.
+LEAVING = 'leaving'
 # Interval for expiring upstreams and trimming idle connections.
 TICK_INTERVAL_S = 0.5
 # Ticks between two hello messages, which also resend crash suspects.
@@ -144,6 +146,8 @@
         self.load_gossip.on_tables = self.handle_peer_tables
         self.tables.on_confirmed = self.load_gossip.load_changed.set
         self.datagrams.handlers[HEALTH] = self.update_health
+        self.datagrams.handlers[LEAVING] = self.handle_leaving
+        self.entry.forwarder.on_leaving = self.send_leaving
         self.datagrams.handlers[TABLE_REQUEST] = self.tables.handle_request
         self.datagrams.handlers[TABLE_PART] = self.tables.handle_part
         self.entry.forwarder.crash_guard.share(
@@ -246,6 +250,16 @@
         for address in self.sidecars:
             self.datagrams.send(message, address)
 
+    def send_leaving(self, name: str) -> None:
+        """Tell the other entries that an upstream leaves."""
+        for address in self.load_gossip.peers.values():
+            self.datagrams.send([LEAVING, name], address)
+
+    def handle_leaving(self, message: list[Any], address: str) -> None:
+        """Handle a peer's message that an upstream leaves."""
+        _tag, name = message
+        self.entry.forwarder.record_leaving(str(name), address)
+
     def update_health(self, message: list[Any], address: str) -> None:
         """Apply a sidecar's report on the health of its engine."""
         self.sidecars.add(address)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -1,5 +1,6 @@
 """Assign requests to free slots at upstreams, or queue them for one."""
 
+import math
 from collections.abc import Callable
 
 import gevent
@@ -94,6 +95,7 @@
                 0,
                 has_upstreams=False,
             )
+        self.check_hold(waiter, now)
         if queue.cannot_start_in_time(waiter, now):
             wait_s = queue.wait_s(waiter, now)
             why = (
@@ -118,6 +120,8 @@
             )
         except gevent.Timeout:
             view = None
+        except DispatchError:
+            raise
         except BaseException:
             if result.ready():
                 self.release(result.get())
@@ -164,6 +168,30 @@
         views = self.selector.services.get(waiter.service, ())
         return any(view.entry.name not in waiter.avoid for view in views)
 
+    def check_hold(self, waiter: Waiter, now: float) -> None:
+        """Check that an upstream of the service wants requests in time.
+
+        :raises DispatchError: if none does, with the earliest end.
+        """
+        hold_end = self.selector.hold_end(waiter.service)
+        if math.isfinite(hold_end) and hold_end >= waiter.latest_start_at:
+            raise DispatchError(
+                f'all upstreams of service {waiter.service!r} want no request'
+                f' for {hold_end - now:.2f} s',
+                hold_end - now,
+                has_upstreams=True,
+            )
+
+    def refuse_held(self) -> None:
+        """Refuse the waiting requests that no upstream wants in time."""
+        now = boot_time()
+        for waiter, result in list(self.results.items()):
+            try:
+                self.check_hold(waiter, now)
+            except DispatchError as error:
+                self.results.pop(waiter)
+                result.set_exception(error)
+
     def release(self, view: UpstreamView) -> None:
         """Release a slot and assign free slots to waiting requests."""
         view.in_flight -= 1
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from comfreyarch_core.refusals import Refusal
@@ -16,7 +17,7 @@
 from comfreyarch_daemon.headercodec import CallHead, HeaderCodec, Headers
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
-from comfreyarch_daemon.upstreamcalls import ConnectionPool
+from comfreyarch_daemon.upstreamcalls import ConnectionPool, boot_time
 
 # Entries assumed to share the retry budget until they are counted.
 ASSUMED_ENTRIES = 32
@@ -91,6 +92,8 @@
     """Hold the state that all requests of a direct entry share.
 
     :param entries: number of entries that share the retry budget.
+    :param on_leaving: called with the name of an upstream whose answer
+        announces that it leaves.
     :param crash_guard: detects and bars requests that crash upstreams.
     :param retry_shares: retry budgets by service.
     """
@@ -102,6 +105,7 @@
         'header_codec',
         'log',
         'metrics',
+        'on_leaving',
         'pool',
         'random_source',
         'retry_limits',
@@ -128,6 +132,7 @@
         self.crash_guard = SharedCrashGuard(log)
         self.retry_shares: dict[str, RetryShare] = {}
         self.entries = ASSUMED_ENTRIES
+        self.on_leaving: Callable[[str], None] = ignore
         self.random_source: random.Random = self.selector.source
 
     def retry_share(self, service: str) -> RetryShare:
@@ -142,6 +147,27 @@
         share.entries = self.entries
         return share
 
+    def record_leaving(self, name: str, source: str = 'answer') -> None:
+        """Record that an upstream announces that it leaves.
+
+        :param source: ``answer``, or the address of the peer that says so.
+        """
+        if not self.selector.announced_leaving(name):
+            return
+        self.log.write('upstream_leaving', upstream=name, source=source)
+        if source == 'answer':
+            self.on_leaving(name)
+
+    def record_hold(self, name: str, hold_s: float) -> None:
+        """Record that an upstream wants no request for a time."""
+        self.selector.announced_hold(name, hold_s, boot_time())
+        self.log.write('upstream_hold', upstream=name, hold_s=hold_s)
+        self.dispatcher.refuse_held()
+
     def close(self) -> None:
         """Close the idle connections."""
         self.pool.close()
+
+
+def ignore(_name: str) -> None:
+    """Do nothing; the default for ``Forwarder.on_leaving``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
@@ -68,6 +68,8 @@
     :param keep_alive_s: seconds for which the upstream keeps an idle
         connection open, None if not stated.
     :param load: load of the upstream, None if not stated.
+    :param leaving: whether the upstream announces that it leaves.
+    :param retry_after_s: seconds after which to retry, None if not stated.
     :param forwarded: headers to forward to the caller unchanged.
     """
 
@@ -77,6 +79,8 @@
     encoded: bool
     load: LoadReport | None
     keep_alive_s: float | None
+    leaving: bool
+    retry_after_s: float | None
     forwarded: Headers
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -36,6 +36,7 @@
 OK_STATUS = 200
 MIN_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # A connection within the fleet opens within a few milliseconds; one that
 # takes a second has lost a packet.
 CONNECT_TIMEOUT_S = 0.5
@@ -306,6 +307,7 @@
         while True:
             answer = self.wait_for_head(exchange)
             head = self.forwarder.header_codec.read_answer(answer.headers)
+            self.record_announcements(exchange, answer, head)
             if head.attempt in {'', self.call.head.attempt}:
                 break
             self.skip_stray_answer(exchange, answer, head)
@@ -320,6 +322,21 @@
         self.forwarder.selector.accepted(exchange.upstream)
         return head
 
+    def record_announcements(
+        self,
+        exchange: Exchange,
+        answer: Answer,
+        head: AnswerHead,
+    ) -> None:
+        """Record what an upstream announces, also with another's answer."""
+        if answer.status == MISDIRECTED_STATUS:
+            # Another upstream made the answer.
+            return
+        if head.leaving:
+            self.forwarder.record_leaving(exchange.upstream)
+        if answer.status == UNAVAILABLE_STATUS and head.retry_after_s:
+            self.forwarder.record_hold(exchange.upstream, head.retry_after_s)
+
     def wait_for_head(self, exchange: Exchange) -> Answer:
         """Wait for a head until sending elsewhere is more promising.
 
