Let the soak's servers announce leaving and holds, and check both

Servers that drain add Server-Leaving to all their answers; a new fault makes a server refuse everything for up to 4 s with 503 and Retry-After. Two checks are new: no request 2 s after an answer with the announcement was passed on by the same entry, unless its process ended or was suspended since; at most two requests from an entry between half a second after the first such 503 and the end of its time.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,7 +13,12 @@
 from typing import Any
 
 from soak.callers import RETRYABLE_STATUSES, AttemptRecord
-from soak.faultinjection import Fault, PublishedConfiguration, affects_entry
+from soak.faultinjection import (
+    Fault,
+    PublishedConfiguration,
+    affects_entry,
+    ends_or_suspends,
+)
 from soak.wire import SIGNATURE_HEADER, answer_body, event
 
 OK_STATUS = 200
@@ -25,6 +30,10 @@
 MAX_CONFIGURATION_DELAY_S = 2.0
 # From a server's announcement of draining until no request is sent to it.
 MAX_DRAIN_DELAY_S = 2.0
+# From a server's 503 with Retry-After until requests to it are counted, and their
+# number that is tolerated.
+HOLD_DELAY_S = 0.5
+TOLERATED_IN_HOLD = 2
 # From the announcement of a planned stop until the process may be killed.
 GRACE_PERIOD_S = 8.0
 # Number of requests in a run that may exceed their route's attempts.
@@ -130,6 +139,8 @@
         outdated_configuration,
         late_configurations,
         sent_to_draining,
+        sent_after_announcement,
+        sent_within_hold,
     )
     guarantees = (*untimed, *time_bound) if timed else untimed
     return [
@@ -345,3 +356,53 @@
                     f'{attempt} arrived {late_s:.2f} s after draining began'
                 )
     return violations
+
+
+def sent_after_announcement(evidence: Evidence) -> list[str]:
+    """Find requests to a server whose answer had announced that it leaves.
+
+    Only the end or a suspension of the entry that passed it on excuses them.
+    """
+    announced: dict[tuple[str, str], float] = {}
+    for record in evidence.records:
+        if record.headers.get('server-leaving') and record.status:
+            server = record.headers.get('x-server-signature', '')
+            known_at = announced.get((record.entry, server), record.ended_at)
+            announced[record.entry, server] = min(known_at, record.ended_at)
+    sent = {record.attempt: record for record in evidence.records}
+    violations = []
+    for attempt, runs in group_by_attempt(evidence).items():
+        if attempt not in sent:
+            continue
+        entry, sent_at = sent[attempt].entry, sent[attempt].at
+        for run in runs:
+            known_at = announced.get((entry, run['server']), sent_at)
+            excused = any(
+                ends_or_suspends(fault, entry)
+                and fault.at < sent_at
+                and fault.until > known_at
+                for fault in evidence.faults
+            )
+            if sent_at > known_at + MAX_DRAIN_DELAY_S and not excused:
+                violations.append(f'{attempt} at {run["server"]} by {entry}')
+    return violations
+
+
+def sent_within_hold(evidence: Evidence) -> list[str]:
+    """Find servers that wanted no request from an entry and got more."""
+    sent = {record.attempt: record for record in evidence.records}
+    refused: dict[tuple[str, str], list[dict[str, Any]]] = defaultdict(list)
+    for run in evidence.runs:
+        if run.get('held') in sent:
+            entry = sent[run['held']].entry
+            refused[entry, run['server']].append(run)
+    violations = []
+    for (entry, server), runs in refused.items():
+        first = runs[0]
+        start = first['at'] + HOLD_DELAY_S
+        later = [run for run in runs if start < run['at'] < first['until']]
+        if len(later) > TOLERATED_IN_HOLD and evidence.is_unaffected(
+            entry, first['at'], first['until']
+        ):
+            violations.append(f'{len(later)} requests to {server} by {entry}')
+    return violations
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -16,6 +16,8 @@
 PLANNED_WORK = frozenset(
     ('stop', 'hup', 'settings', 'configure', 'storm', 'drain', 'roll')
 )
+# Faults that end or suspend a process.
+LIFE_FAULTS = frozenset(('stop', 'roll', 'kill', 'kill-many', 'pause'))
 MAX_FAULT_S = 4.0
 # Pause between the configurations of a storm.
 STORM_GAP_S = 0.25
@@ -91,6 +93,7 @@
             'kill-server': self.kill_server,
             'pause-server': self.pause_server,
             'trouble': self.fail_answers,
+            'hold-server': self.hold_server,
             'link': self.impair_link,
             'reset': self.break_connections,
             'store': self.impair_store,
@@ -256,6 +259,13 @@
         gevent.sleep(duration_s)
         program.send_command({'do': 'trouble', 'how': '', 'share': 0})
 
+    def hold_server(self, duration_s: float) -> None:
+        """Make servers refuse all requests, with the time to retry."""
+        name = self.rng.choice(self.fleet.servers)
+        self.record_fault('hold-server', name, duration_s)
+        command = {'do': 'hold', 'for_s': duration_s}
+        self.fleet.programs[name].send_command(command)
+
     def impair_link(self, duration_s: float) -> None:
         """Impair one link."""
         name = self.rng.choice(self.fleet.links)
@@ -401,3 +411,11 @@
         store, or all programs.
     """
     return fault.who in {'store', 'all', entry, f'to-{entry}', STORE_LINK[0]}
+
+
+def ends_or_suspends(fault: Fault, entry: str) -> bool:
+    """Check whether a fault ends or suspends an entry's process.
+
+    :returns: False for all other faults.
+    """
+    return fault.what in LIFE_FAULTS and fault.who in {'all', entry}
--- a/soak/server.py
+++ b/soak/server.py
@@ -36,6 +36,7 @@
 HEARTBEAT_S = 1.2
 MAX_QUEUED = 4
 SERVICE_TIME_S = 0.04
+LEAVING = {'Server-Leaving': '1'}
 # Promised time for which a draining server still serves requests.
 DRAIN_PERIOD_S = 2.0
 # A draining server continues to serve for this long after the promised time.
@@ -69,6 +70,8 @@
     :param runs_fd: descriptor of the file that receives one line per event.
     :param group: the rank group, None for a plain server.
     :param heartbeats: number of rows written so far, its sequence.
+    :param held_until: Unix time until which requests are refused with the time
+        after which to retry.
     :param born: Unix time of the start, in ms.
     """
 
@@ -83,6 +86,7 @@
     active: int = 0
     waiting: int = 0
     heartbeats: int = 0
+    held_until: float = 0
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     slots: Any = None
     listener: Any = None
@@ -170,6 +174,13 @@
         if expected != self.name:
             self.refuse(sock, 421, attempt, {'At-Server': self.name})
             return True
+        if arrived < self.held_until:
+            self.write_event({'held': attempt, 'until': self.held_until})
+            left_s = f'{self.held_until - arrived:.3f}'
+            self.refuse(
+                sock, 503, attempt, {**NOT_EXECUTED, 'Retry-After': left_s}
+            )
+            return True
         if self.group is not None and not self.group.is_open:
             self.refuse(sock, 503, attempt, NOT_EXECUTED)
             return True
@@ -251,6 +262,7 @@
         }
         if self.row['state'] != 'ready':
             headers['Connection'] = 'close'
+            headers.update(LEAVING)
         return headers
 
     def make_answer(self, attempt: str, status: int, body: bytes) -> bytes:
@@ -311,12 +323,17 @@
             'X-Attempt-Id': attempt,
             'Content-Length': '0',
             **extra_headers,
+            **({} if self.row['state'] == 'ready' else LEAVING),
         }
         sock.sendall(format_head(f'HTTP/1.1 {status} X', headers))
 
 
 def execute_command(servers: list[Server], command: dict[str, Any]) -> None:
     """Execute one command."""
+    if command['do'] == 'hold':
+        for server in servers:
+            server.held_until = time.time() + command['for_s']
+        return
     if command['do'] == 'trouble':
         for server in servers:
             server.answer_fault = AnswerFault(command['how'], command['share'])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -148,6 +148,30 @@
     assert not check(evidence)
 
 
+# Fails if the soak does not see requests to a server that announced leaving.
+def test_a_server_whose_answer_announced_leaving():
+    headers = {**make_record().headers, 'server-leaving': '1'}
+    told = make_record(attempt='b', at=90.0, ended_at=90.5, headers=headers)
+    evidence = make_evidence(make_record(), [make_run()])
+    evidence.records.append(told)
+    violations = [line for line in check(evidence) if 'announcement' in line]
+    assert violations == ['sent_after_announcement: a at s by entry-0']
+    evidence.faults.append(Fault('kill', 'entry-0', 91, 92))
+    assert not [line for line in check(evidence) if 'announcement' in line]
+
+
+# Fails if the soak does not see requests to a server that wanted none.
+def test_a_server_that_wanted_no_request():
+    held = [
+        {'server': 's', 'at': at, 'held': 'a', 'until': 110}
+        for at in (100, 100.1, 101, 102, 103)
+    ]
+    evidence = make_evidence(make_record(), [make_run(), *held])
+    assert check(evidence) == ['sent_within_hold: 3 requests to s by entry-0']
+    evidence.runs.pop()
+    assert not check(evidence)
+
+
 def test_a_short_run_of_the_real_programs_is_clean(tmp_path):
     """Leave out time bounds: a slow machine may exceed them."""
     command = (sys.executable, '-m', 'soak', '--seed', SEED, '--no-timed')
