Split the store's client, the table protocols and the lag of a table

The adapter's client stands apart from the tables it reads; protocols and errors of tables apart from the watch; what decides about the request of a table from a peer is in the core. No change of behaviour.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -33,12 +33,9 @@
     UpstreamsListener,
 )
 from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
+from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.tablesync import TableSync
-from comfreyarch_daemon.tablewatch import (
-    FIRST_RETRY_S,
-    LONGEST_RETRY_S,
-    StoreCallFailed,
-)
+from comfreyarch_daemon.tablewatch import FIRST_RETRY_S, LONGEST_RETRY_S
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Tag of the messages with an upstream that announces that it leaves.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -39,7 +39,7 @@
     RankOrder,
     StateReport,
 )
-from comfreyarch_daemon.tablewatch import StoreCallFailed
+from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 TICK_INTERVAL_S = 0.02
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/maprules.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/maprules.py
@@ -6,7 +6,7 @@
 
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.leadership import MapRules
-from comfreyarch_daemon.tablewatch import StoreCallFailed
+from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Age above which the rules are read again. They depend on routes and services,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -45,7 +45,7 @@
 from comfreyarch_daemon.ranksettings import RankAdapter
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.settingsfile import SettingsFileWatcher
-from comfreyarch_daemon.tablewatch import StoreCallFailed
+from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval at which a leader announces itself.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
@@ -11,7 +11,7 @@
 from comfreyarch_daemon.directsettings import DirectSettings
 from comfreyarch_daemon.headercodec import HeaderCodec
 from comfreyarch_daemon.loadgossip import PeerDirectory
-from comfreyarch_daemon.tablewatch import TableSource
+from comfreyarch_daemon.tablesource import TableSource
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
 import gevent
@@ -18,40 +17,18 @@
     Confirmation,
     make_pause_detector,
 )
+from comfreyarch_core.tablelag import TableLag, make_table_lag
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.tablerelay import TableRelay, decode_request
-from comfreyarch_daemon.tablewatch import (
-    TableListener,
-    TableSource,
-    TableWatch,
-)
+from comfreyarch_daemon.tablesource import TableListener, TableSource
+from comfreyarch_daemon.tablewatch import TableWatch
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Time that a table may lag behind that of a peer before it is requested from the
-# peer, and again after each further such time. It is longer than the pause
-# after which a watch polls again.
-MAX_TABLE_LAG_S = 0.35
 # Shortest pause between two checks for probes that are due.
 MIN_PAUSE_S = 0.01
 
 
-@dataclass(slots=True)
-class TableLag:
-    """Describe a table of which a peer knows more.
-
-    :param newest: version of the newest row that a peer knows.
-    :param address: datagram address of that peer.
-    :param due_at: time at which the table is requested if it still lags.
-    :param requests: number of requests sent.
-    """
-
-    newest: int
-    address: str
-    due_at: float
-    requests: int = 0
-
-
 class TableSync:
     """Own the watches of a node's tables.
 
@@ -228,11 +205,9 @@
             if newest <= watch.tracker.version:
                 continue
             if lag is None:
-                due_at = boot_time() + MAX_TABLE_LAG_S
-                self.lags[name] = TableLag(newest, address, due_at)
-            elif newest >= lag.newest:
-                lag.newest = newest
-                lag.address = address
+                self.lags[name] = make_table_lag(newest, address, boot_time())
+            else:
+                lag.update(newest, address)
 
     def request_lagging_tables(self, now: float) -> None:
         """Request the tables that still lag from the peers that know more.
@@ -248,8 +223,7 @@
                 if lag.requests:
                     watch.interrupt(lag.newest)
                 self.relay.request(name, watch.tracker.version, lag.address)
-                lag.requests += 1
-                lag.due_at = now + MAX_TABLE_LAG_S
+                lag.record_request(now)
 
     def handle_request(self, message: list[Any], address: str) -> None:
         """Send a peer a table of which it knows less.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -1,7 +1,6 @@
 """Watch tables of the store, each with a long poll."""
 
 import random
-from typing import Protocol
 
 import gevent
 
@@ -14,6 +13,12 @@
 )
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.tablesource import (
+    HistoryGone,
+    StoreCallFailed,
+    TableListener,
+    TableSource,
+)
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Long-poll timeout. Store calls are priced, so it is just below the longest
@@ -36,48 +41,6 @@
 STALE_RETRY_S = 0.25
 
 
-class StoreCallFailed(Exception):
-    """Report that a call to the store failed, and why."""
-
-
-class HistoryGone(Exception):
-    """Report that the store no longer has the requested changes."""
-
-
-class TableSource(Protocol):
-    """Read one table of a store; implemented by a platform adapter."""
-
-    def read(self) -> TableState:
-        """Read the whole table.
-
-        :raises StoreCallFailed: if the store does not answer.
-        """
-
-    def changes(self, after: int, wait_s: float) -> TableState:
-        """Wait for changes after a version.
-
-        :param wait_s: long-poll timeout.
-        :raises StoreCallFailed: if the store does not answer.
-        :raises HistoryGone: if a full read is needed.
-        """
-
-    def close(self) -> None:
-        """Close the connection; a call in flight fails."""
-
-
-class TableListener(Protocol):
-    """Receive the changes and store outages that a watch detects."""
-
-    def apply_change(self, change: Change) -> None:
-        """Apply rows that changed or were removed."""
-
-    def store_lost(self) -> None:
-        """Handle the start of a store outage."""
-
-    def store_back(self) -> None:
-        """Handle the end of a store outage."""
-
-
 class TableWatch:
     """Watch one table and pass its changes to a listener.
 
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -15,8 +15,8 @@
 from comfreyarch_daemon import tablesync, tablewatch
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
+from comfreyarch_daemon.tablesource import HistoryGone, StoreCallFailed
 from comfreyarch_daemon.tablesync import TableSync
-from comfreyarch_daemon.tablewatch import HistoryGone, StoreCallFailed
 
 TABLE = 'configuration'
 KEY = 'config'
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -21,7 +21,7 @@
 from comfreyarch_daemon.headercodec import SendContext
 from comfreyarch_daemon.leadership import LeaderRow, Term
 from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.tablewatch import HistoryGone, StoreCallFailed
+from comfreyarch_daemon.tablesource import HistoryGone, StoreCallFailed
 from comfreyarch_platform.bootfile import (
     read_entry_settings,
     read_rank_settings,
@@ -35,11 +35,8 @@
 )
 from comfreyarch_platform.engines import decode_state, encode_order
 from comfreyarch_platform.jsoncalls import JsonAnswer
-from comfreyarch_platform.tables import (
-    PlatformLeadership,
-    PlatformTable,
-    decode_page,
-)
+from comfreyarch_platform.storeclient import decode_page
+from comfreyarch_platform.tables import PlatformLeadership, PlatformTable
 
 CONFIGURATION = {
     'version': 7,
--- a/tests/test_rank_node.py
+++ b/tests/test_rank_node.py
@@ -14,7 +14,7 @@
 from comfreyarch_daemon.maprules import MAX_RULES_AGE_S
 from comfreyarch_daemon.ranknode import RankNode
 from comfreyarch_daemon.ranksettings import RankAdapter, RankSettings
-from comfreyarch_daemon.tablewatch import StoreCallFailed
+from comfreyarch_daemon.tablesource import StoreCallFailed
 
 RULES = MapRules(MapLimits(64, 11, 3), ServiceLimits(12, 0.12))
 NEW_RULES = MapRules(MapLimits(64, 11, 3), ServiceLimits(12, 0.06))
--- a/tests/test_table_watch.py
+++ b/tests/test_table_watch.py
@@ -10,11 +10,8 @@
 from comfreyarch_daemon import tablewatch
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
-from comfreyarch_daemon.tablewatch import (
-    HistoryGone,
-    StoreCallFailed,
-    TableWatch,
-)
+from comfreyarch_daemon.tablesource import HistoryGone, StoreCallFailed
+from comfreyarch_daemon.tablewatch import TableWatch
 
 
 class ScriptEnded(gevent.GreenletExit):
