--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -141,11 +141,12 @@
         table = self.sources[name]()
         self.probing.add(table)
         try:
-            self.watches[name].probe(table)
+            is_confirmed = self.watches[name].probe(table)
         finally:
             self.probing.discard(table)
             table.close()
-        self.on_confirmed()
+        if is_confirmed:
+            self.on_confirmed()
 
     def era(self) -> int:
         """Return the highest era of the store seen in any table.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -146,10 +146,11 @@
         if self.apply_changes(state, confirmed_at):
             gevent.sleep(COALESCE_PAUSE_S)
 
-    def probe(self, table: TableSource) -> None:
+    def probe(self, table: TableSource) -> bool:
         """Ask the store for changes, as the poll in flight may be unanswered.
 
         :param table: a connection of its own for this call.
+        :returns: whether the store confirmed the table.
         """
         self.metrics.count('store_calls', table=self.name)
         started_at = boot_time()
@@ -159,13 +160,14 @@
         except HistoryGone:
             self.record_history_gone()
             self.restart_poll()
-            return
+            return False
         except StoreCallFailed as error:
             self.handle_failed_probe(started_at, str(error))
-            return
+            return False
         # The poll should have returned these changes.
         if self.apply_changes(state, started_at) or was_unreachable:
             self.restart_poll()
+        return True
 
     def handle_failed_probe(self, probed_at: float, why: str) -> None:
         """End the poll in flight, as the store may not have received it."""
