Keep the fence of a leader's term when the store is restored

Cause: the fence was read from the row as its version in the present era. The versions of maps are made of the fence, and a new leader recognizes the map that its predecessor had prepared, and the ranks that it had armed, by them: after a restoration it looked for another fence than the one under which the orders had been given. The term now states the era in which it was claimed, the fence is that position whatever era follows, and the row's present era is read beside it, for the condition of the next claim and for the leader's check that its term still stands. A leader whose row the copy has goes on; one whose row it lost resigns. Rows of earlier releases state no era and are of the first.

New tests of fence and resignation; the store's part fails on the former code by its signature (LeaderRow has no era).

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
@@ -12,21 +12,34 @@
     """Identify a leader of a group in one of the group's epochs.
 
     :param address: datagram address of the leader's sidecar.
+    :param era: era of the store in which the term was claimed.
     """
 
     address: str
     epoch: int
+    era: int = 0
+
+    def is_of(self, address: str, epoch: int) -> bool:
+        """Check whether a sidecar led by this term.
+
+        :returns: False for another sidecar or epoch.
+        """
+        return (self.address, self.epoch) == (address, epoch)
 
 
 @dataclass(frozen=True, slots=True)
 class LeaderRow:
     """Represent a group's leader row; the fence is 0 if no rank leads.
 
+    :param fence: position at which the current term was claimed, which does not
+        change if the store is restored from a copy that has the row.
     :param terms: the last terms, the current one first.
+    :param era: era of the store when the row was read.
     """
 
     fence: int
     terms: tuple[Term, ...] = ()
+    era: int = 0
 
     @property
     def address(self) -> str:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -29,6 +29,7 @@
     Tick,
 )
 from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.groupreports import GroupReports
@@ -479,20 +480,23 @@
         """Check in the store that this term has not ended.
 
         A store that was restored from an older copy may have lost the term. The
-        row is then missing or has a higher fence, of the new era, and a leader
-        must be elected again.
+        row is then missing or that of an earlier leader, read in a later era
+        than that of the term, and a leader must be elected again.
 
         :returns: False if another leader was elected, if the term is lost, or
             if the store is unavailable.
         """
         try:
-            fence = self.leadership.read(self.group).fence
+            row = self.leadership.read(self.group)
         except StoreCallFailed as error:
             self.log.write('leadership_unknown', why=str(error))
             return False
-        if fence > self.fence or fence == 0:
+        if row.fence == self.fence:
+            return True
+        is_restored = row.era > era_of(self.fence)
+        if row.fence > self.fence or row.fence == 0 or is_restored:
             self.must_resign = True
-        return fence == self.fence
+        return False
 
 
 def find_no_map(_state: EngineState, _experts: int) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -477,14 +477,13 @@
         :raises StoreCallFailed: if the store cannot be read, or the outcome of
             the claim is unknown.
         """
-        term = Term(self.settings.peers, own_state.epoch)
-        has_led_before = (
-            term in former.terms
-            and self.leader_view.is_recently_started(boot_time())
-        )
+        own = (self.settings.peers, own_state.epoch)
+        has_led_before = any(
+            term.is_of(*own) for term in former.terms
+        ) and self.leader_view.is_recently_started(boot_time())
         if has_led_before or self.contact_unseen_leader(former, own_state):
             return None
-        return self.leadership.claim(own_state.group, term, former)
+        return self.leadership.claim(own_state.group, Term(*own), former)
 
     def claim_leadership(self, own_state: EngineState) -> None:
         """Try to become the leader, and start leading on success."""
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,6 +3,7 @@
 The examples have the format that the platform's pages describe.
 """
 
+import base64
 import json
 
 import msgspec
@@ -490,6 +491,33 @@
     assert after > before
 
 
+# Fails if the fence of a leader changes with the store's era: the versions of its
+# maps are made of it, and a new leader recognizes the maps of its predecessor.
+def test_the_fence_of_a_term_stays_when_the_store_is_restored():
+    terms = [{'address': 'a', 'epoch': 1, 'era': 1}]
+    content = base64.b64encode(json.dumps(terms).encode()).decode()
+    row = {'key': 'g', 'value': content, 'schemaVersion': 7}
+    answer = {'rows': [row], 'schemaVersion': 9, 'hasMore': False}
+    leadership = PlatformLeadership('store:1')
+    leadership.store.connection = ScriptedConnection(
+        (200, 1, answer), (200, 2, answer)
+    )
+    before, after = leadership.read('g'), leadership.read('g')
+    assert before.fence == after.fence == make_position(1, 7)
+    assert (before.era, after.era) == (1, 2)
+
+
+# Fails if a leader of an earlier release, which states no era, is not read.
+def test_a_row_of_an_earlier_release_is_of_the_first_era():
+    terms = [{'address': 'a', 'epoch': 1}]
+    content = base64.b64encode(json.dumps(terms).encode()).decode()
+    row = {'key': 'g', 'value': content, 'schemaVersion': 7}
+    answer = {'rows': [row], 'schemaVersion': 9, 'hasMore': False}
+    leadership = PlatformLeadership('store:1')
+    leadership.store.connection = ScriptedConnection((200, None, answer))
+    assert leadership.read('g') == LeaderRow(7, (Term('a', 1),), 0)
+
+
 # Fails if a claim that met another row of the same version counts as won.
 def test_a_claim_on_a_condition_of_another_era_is_unknown():
     leadership = PlatformLeadership('store:1')
--- a/tests/test_rank_node.py
+++ b/tests/test_rank_node.py
@@ -26,6 +26,7 @@
     def __init__(self, rules):
         self.rules = rules
         self.fence = 0
+        self.era = 0
         self.claims = 0
         self.reads = 0
         self.is_down = False
@@ -39,7 +40,7 @@
 
     def read(self, _group):
         """Read the leader's row."""
-        return LeaderRow(self.fence)
+        return LeaderRow(self.fence, era=self.era)
 
     def claim(self, _group, _term, _former):
         """Become the leader."""
@@ -121,17 +122,28 @@
 
 # Fails if a leader whose term a restored store has lost goes on to lead, and
 # never changes a map again.
-@pytest.mark.parametrize('fence', [0, make_position(1, 3)])
+@pytest.mark.parametrize('fence', [0, 4, make_position(1, 3)])
 def test_a_leader_whose_term_the_store_lost_resigns(monkeypatch, clock, fence):
     store = FakeStore(RULES)
+    store.fence = 8
     node = make_node(monkeypatch, store)
     node.claim_leadership(make_state())
     assert node.leader.is_still_leader()
     store.fence = fence
+    store.era = 1
     assert not node.leader.is_still_leader()
     assert node.leader.must_resign
 
 
+def test_a_leader_whose_term_a_restored_store_has_goes_on(monkeypatch, clock):
+    store = FakeStore(RULES)
+    node = make_node(monkeypatch, store)
+    node.claim_leadership(make_state())
+    store.era = 1
+    assert node.leader.is_still_leader()
+    assert not node.leader.must_resign
+
+
 def test_a_stale_read_of_the_row_ends_no_term(monkeypatch, clock):
     store = FakeStore(RULES)
     store.fence = 8
