Keep map versions exact in JSON after the store was restored

Map versions are made of the leader's fence, which holds the store's era in its high bits since: from the first restoration on they exceeded 2^53, where a JSON decoder that reads numbers as doubles rounds them and two maps get one version. The era now adds 2^33 terms to the number that the versions are made of; in the first era nothing changes.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -55,8 +55,8 @@
     Settled,
 )
 from comfreyarch_core.maporders import (
-    MAPS_PER_FENCE,
     find_witnesses,
+    first_map_version,
     highest_version,
     map_state,
     select_ranks_to_arm,
@@ -158,7 +158,7 @@
         :returns: a version above all earlier ones.
         """
         self.maps_created += 1
-        return self.fence * MAPS_PER_FENCE + self.maps_created
+        return first_map_version(self.fence) + self.maps_created
 
     def is_quiescent(self) -> bool:
         """Check that all ranks are known, open, at rest and in agreement.
@@ -241,7 +241,7 @@
         self.states[state.rank] = state
         if known is not None and map_state(state) != map_state(known):
             self.sent_at.pop(state.rank, None)
-        if highest_version(state) >= (self.fence + 1) * MAPS_PER_FENCE:
+        if highest_version(state) >= first_map_version(self.fence + 1):
             self.deposed = True
             self.phase = Phase.idle
             return [Settled(None, DEPOSED)]
--- a/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
@@ -7,9 +7,24 @@
     PrepareMap,
 )
 from comfreyarch_core.mapcontrolmessages import AbsentLeader
+from comfreyarch_core.storeposition import era_of, version_of
 
-# Map versions per fence: a version is fence * MAPS_PER_FENCE + counter.
+# Map versions per fence.
 MAPS_PER_FENCE = 100_000
+# Store versions of an era that are told apart in map versions. With it, map
+# versions stay below 2**53, which JSON numbers hold exactly everywhere, for ten
+# eras.
+FENCES_PER_ERA = 1 << 33
+
+
+def first_map_version(fence: int) -> int:
+    """Return the version below all map versions of a leader.
+
+    :param fence: position at which the leader's term was claimed.
+    :returns: a number that rises with the fence.
+    """
+    number = era_of(fence) * FENCES_PER_ERA + version_of(fence)
+    return number * MAPS_PER_FENCE
 
 
 def select_ranks_to_arm(
@@ -40,7 +55,7 @@
 
     :returns: candidates; a later report may show that one of them is armed.
     """
-    lowest = absent_leader.fence * MAPS_PER_FENCE
+    lowest = first_map_version(absent_leader.fence)
     return {
         rank
         for rank, state in states.items()
--- a/tests/test_map_plan.py
+++ b/tests/test_map_plan.py
@@ -7,7 +7,9 @@
 from comfreyarch_core.enginehealth import RETRY_S, STALLED_S, make_health_watch
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits, make_pressure_monitor
+from comfreyarch_core.maporders import MAPS_PER_FENCE, first_map_version
 from comfreyarch_core.mapplan import MapLimits, is_within_copy_limit, plan_map
+from comfreyarch_core.storeposition import make_position
 
 RANKS, EXPERTS, CAPACITY = 8, 64, 11
 LIMITS = MapLimits(EXPERTS, CAPACITY, 4)
@@ -135,3 +137,17 @@
 def test_a_broken_group_is_not_usable():
     watch = make_health_watch()
     assert not watch.handle(make_state(3, is_open=False), 0).usable
+
+
+# Fails if map versions after a restoration of the store are so large that JSON
+# decoders round them, or do not rise.
+def test_map_versions_rise_with_the_era_and_stay_exact():
+    fences = [
+        make_position(era, version)
+        for era in range(8)
+        for version in (1, 500, 10**9)
+    ]
+    versions = [first_map_version(fence) for fence in fences]
+    assert versions == sorted(set(versions))
+    assert all(int(float(version)) == version for version in versions)
+    assert first_map_version(500) == 500 * MAPS_PER_FENCE
