--- a/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
@@ -11,10 +11,10 @@
 
 # Map versions per fence.
 MAPS_PER_FENCE = 100_000
-# Store versions of an era that are told apart in map versions. With it, map
+# Bits of a store version that are told apart in map versions. With them, map
 # versions stay below 2**53, which JSON numbers hold exactly everywhere, for ten
 # eras.
-FENCES_PER_ERA = 1 << 33
+FENCE_BITS = 33
 
 
 def first_map_version(fence: int) -> int:
@@ -23,7 +23,7 @@
     :param fence: position at which the leader's term was claimed.
     :returns: a number that rises with the fence.
     """
-    number = era_of(fence) * FENCES_PER_ERA + version_of(fence)
+    number = (era_of(fence) << FENCE_BITS) + version_of(fence)
     return number * MAPS_PER_FENCE
 
 
