Let a hung answer of the soak's engines not hold up their group

On the users' platform a run makes passes until it ends; only its answer hangs. The stand-in now counts a hung request as ended. The check is unchanged.

--- a/soak/server.py
+++ b/soak/server.py
@@ -233,7 +233,11 @@
             case 'lost':
                 return False
             case 'hang':
+                # The run is over and only its answer is never sent, so that the
+                # engine does not report it as running.
+                self.active -= 1
                 gevent.sleep(HANG_S)
+                self.active += 1
                 return False
             case 'rubbish':
                 sock.sendall(b'\x00\x16garbage\r\n\r\n' * 3)
