Do not wake up for probes while a table is read in full

While a table had to be read in full and the store did not answer, its next probe stayed due and was never sent, so the entry checked a hundred times a second. The new test fails on the former code.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -106,35 +106,35 @@
             gevent.sleep(self.pause_s(boot_time()))
             now = boot_time()
             self.pause_detector.record_run(now)
-            for name in self.due_probes(now):
-                self.watches[name].freshness.record_probe(now)
-                gevent.spawn(self.probe, name)
+            for name, due_at in self.probe_times().items():
+                if now >= due_at:
+                    self.watches[name].freshness.record_probe(now)
+                    gevent.spawn(self.probe, name)
             self.request_lagging_tables(now)
 
     def pause_s(self, now: float) -> float:
-        """Return the time to the next probe or run check.
+        """Return the time to the next probe, request or run check.
 
         :returns: seconds.
         """
         due_times = [
-            watch.freshness.probe_due_at() for watch in self.watches.values()
+            *self.probe_times().values(),
+            *(lag.due_at for lag in self.lags.values()),
         ]
-        due_times += [lag.due_at for lag in self.lags.values()]
-        pauses_s = [due_at - now for due_at in due_times if due_at is not None]
+        pauses_s = [due_at - now for due_at in due_times]
         return max(MIN_PAUSE_S, min([RUN_CHECK_INTERVAL_S, *pauses_s]))
 
-    def due_probes(self, now: float) -> list[str]:
-        """List the tables to probe.
+    def probe_times(self) -> dict[str, float]:
+        """Return when the next probe of each table is due.
 
-        :returns: names, without the tables that are being read in full.
+        :returns: times by table, without those that are being read in full.
         """
-        due = []
+        times: dict[str, float] = {}
         for name, watch in self.watches.items():
             due_at = watch.freshness.probe_due_at()
-            is_due = due_at is not None and now >= due_at
-            if is_due and not watch.tracker.needs_full_read:
-                due.append(name)
-        return due
+            if due_at is not None and not watch.tracker.needs_full_read:
+                times[name] = due_at
+        return times
 
     def probe(self, name: str) -> None:
         """Send one probe of a table."""
--- a/tests/test_configuration_age.py
+++ b/tests/test_configuration_age.py
@@ -8,7 +8,10 @@
 import simulated_tables
 from simulated_tables import Fault, SimulatedFleet
 
-from comfreyarch_core.tablefreshness import CONFIRM_INTERVAL_S
+from comfreyarch_core.tablefreshness import (
+    CONFIRM_INTERVAL_S,
+    RUN_CHECK_INTERVAL_S,
+)
 
 IN_FORCE_S = 2.0
 CONTACT_S = 3.0
@@ -160,3 +163,21 @@
     changes = [*storm(4, FAULT_AT, 0.25), *storm(rewritten_at, 24, 0.9)]
     fleet.run(changes, 30)
     assert not late(fleet, range(entries), restored_at)
+
+
+# Fails if an entry wakes up again and again while it cannot read a table that it
+# must read in full.
+def test_an_entry_does_not_spin_while_it_waits_for_a_full_read(monkeypatch):
+    fault = Fault('refusing', FAULT_AT, 30)
+    fleet = SimulatedFleet(monkeypatch, 1, [fault])
+    watch = fleet.entries[0].watch
+    fleet.clock.spawn_later(FAULT_AT, watch.record_history_gone)
+    runs = []
+    detector = fleet.entries[0].tables.pause_detector
+    monkeypatch.setattr(
+        type(detector), 'record_run', lambda _, now: runs.append(now)
+    )
+    fleet.run([], 28)
+    seconds = 28 - FAULT_AT
+    later = [at for at in runs if at - fleet.start > FAULT_AT + 1]
+    assert len(later) <= seconds / RUN_CHECK_INTERVAL_S + 1
