--- a/packages/comfreyarch-core/src/comfreyarch_core/announcements.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/announcements.py
@@ -16,7 +16,7 @@
 
 @dataclass(slots=True)
 class UpstreamAnnouncements:
-    """Hold the announcements of all upstreams by name.
+    """Record the announcements of all upstreams by name.
 
     :param leaving: start of the process that announced that it leaves, see
         ``UpstreamEntry.started_ms``.
--- a/packages/comfreyarch-core/src/comfreyarch_core/tablesnapshot.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tablesnapshot.py
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPart:
-    """Hold one of the messages of a snapshot.
+    """Represent one of the messages of a snapshot.
 
     :param table: name of the table.
     :param version: version of the store up to which the snapshot is complete.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -248,7 +248,7 @@
             self.datagrams.send(message, address)
 
     def send_leaving(self, name: str) -> None:
-        """Tell the other entries that an upstream leaves."""
+        """Inform the other entries that an upstream leaves."""
         for address in self.load_gossip.peers.values():
             self.datagrams.send([LEAVING, name], address)
 
