Give no port of a test fleet to two programs

Cause, from its logs: side-redator-1 ended with 'Address already in use' for port 36179, which the settings of entry-0 state as well. free_port closes the port that it found, and the system offered it again before the first program had bound it.

Ports given out are remembered now.

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -18,6 +18,8 @@
 from geventhttpclient import HTTPClient
 
 WAIT_TIMEOUT_S = 20.0
+# Ports that this process has given to programs.
+GIVEN_PORTS: set[int] = set()
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = 5.0
 ZONES = ('poa-centro', 'poa-norte', 'canoas')
@@ -30,10 +32,17 @@
 
 
 def free_port() -> int:
-    """Return a free TCP port on loopback."""
-    with socket.socket() as probe_socket:
-        probe_socket.bind(('127.0.0.1', 0))
-        return int(probe_socket.getsockname()[1])
+    """Return a free TCP port on loopback that was not returned before.
+
+    The system may offer a port again until a program has bound it.
+    """
+    while True:
+        with socket.socket() as probe_socket:
+            probe_socket.bind(('127.0.0.1', 0))
+            port = int(probe_socket.getsockname()[1])
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 def wait_until(
