Let no restarted engine enter an epoch that it has been in

Cause: an order for a new epoch could reach an engine that had entered that epoch, run steps and restarted: resent because the coordinator had not seen the first answer, or executed late by the engine. The engine then entered the same epoch again at its first step, below the others. Ranks of one epoch at different steps never start the next one together, none reports a lost state, and the group stood still for good. A coordinator that was starting an epoch also ignored reports of engines that restarted meanwhile.

The order now names the incarnation that it is for, which the rank reported with its promise; the sidecar and the engine refuse it for another one, and the coordinator collects all states again.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
@@ -12,6 +12,8 @@
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from comfreyarch_core.coordinatormessages import (
     Abandon,
     ChangeFinished,
@@ -171,7 +173,9 @@
         aborted and can be proposed again later.
         """
         if self.phase is Phase.beginning:
-            return []
+            if state.incarnation == self.states[rank].incarnation:
+                return []
+            return self.restart_recovery(now)
         if state.lost or state.epoch != self.epoch:
             return self.restart_recovery(now)
         change = state.open_change
@@ -239,7 +243,20 @@
         )
         self.phase = Phase.beginning
         self.last_sent_at = now
-        return self.broadcast(self.pending_epoch)
+        return self.broadcast_epoch(self.pending_epoch)
+
+    def broadcast_epoch(self, order: NewEpoch) -> list[Outcome]:
+        """Send the new epoch to ranks that have not entered it."""
+        return [
+            ToRank(
+                rank,
+                msgspec.structs.replace(
+                    order, incarnation=self.states[rank].incarnation
+                ),
+            )
+            for rank in range(self.ranks)
+            if rank not in self.acks
+        ]
 
     def send_next_decision(self, now: float) -> list[Outcome]:
         """Send the next pending decision, or enter the steady phase."""
@@ -389,7 +406,7 @@
             case Phase.settling:
                 return self.broadcast(self.pending_decisions[0])
             case Phase.beginning if self.pending_epoch is not None:
-                return self.broadcast(self.pending_epoch)
+                return self.broadcast_epoch(self.pending_epoch)
         return []
 
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapmessages.py
@@ -28,6 +28,8 @@
     prepared change, empty if there is none; the rank waits at ``change_step``
     for its outcome. ``outcomes`` maps each change to the outcome that the
     rank accepted. ``lost`` is True after the engine lost its state.
+    ``incarnation`` identifies one start of the engine; it is empty if the
+    engine does not report it.
     """
 
     epoch: int = 0
@@ -39,6 +41,7 @@
     change_placement: Placement = []
     outcomes: dict[str, str] = {}
     lost: bool = False
+    incarnation: str = ''
 
     @property
     def open_change(self) -> str:
@@ -74,13 +77,19 @@
 
 
 class NewEpoch(MapMessage, frozen=True):
-    """Move all ranks to a new epoch after one lost its state."""
+    """Move all ranks to a new epoch after one lost its state.
+
+    Only the engine ``incarnation`` may enter the epoch by this order. An
+    engine that restarted since then would enter at a step which the others
+    have passed, and the group would stand still.
+    """
 
     fence: int
     epoch: int
     step: int
     map_id: str
     placement: Placement
+    incarnation: str = ''
 
 
 class Promised(MapMessage, frozen=True):
--- a/packages/comfreyarch-core/src/comfreyarch_core/rankparticipant.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/rankparticipant.py
@@ -197,8 +197,10 @@
             self.finished_changes.pop(next(iter(self.finished_changes)))
 
     def handle_new_epoch(self, order: NewEpoch) -> list[Outcome]:
-        """Enter a new epoch."""
+        """Enter a new epoch unless the engine has restarted since then."""
         self.promised_fence = max(self.promised_fence, order.fence)
+        if order.incarnation not in {'', self.state.incarnation}:
+            return [self.report()]
         if self.state.epoch == order.epoch and not self.state.lost:
             reply = Begun(order.fence, self.rank, order.epoch)
             return [ToCoordinator(reply)]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/engineclient.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/engineclient.py
@@ -57,6 +57,7 @@
         change_placement=raw['change_placement'],
         outcomes=raw['outcomes'],
         lost=raw['lost'],
+        incarnation=raw.get('incarnation', ''),
     )
     return EngineStatus(
         rank_state,
@@ -95,6 +96,7 @@
         'step': order.step,
         'map': order.map_id,
         'placement': order.placement,
+        'incarnation': order.incarnation,
     }
 
 
--- a/standins/engines.py
+++ b/standins/engines.py
@@ -142,8 +142,7 @@
             return self.prepare(order)
         if kind == 'outcome':
             return self.record_outcome(order)
-        self.restart_epoch(order)
-        return 200, self.state()
+        return self.restart_epoch(order)
 
     def prepare(self, order: dict[str, Any]) -> tuple[int, dict[str, Any]]:
         """Load a placement and hold the rank at the step of the change."""
@@ -177,10 +176,14 @@
                 self.prepared = None
         return 200, self.state()
 
-    def restart_epoch(self, order: dict[str, Any]) -> None:
+    def restart_epoch(
+        self, order: dict[str, Any]
+    ) -> tuple[int, dict[str, Any]]:
         """Restart in a new epoch unless it has already begun."""
+        if order.get('incarnation', '') not in {'', self.incarnation}:
+            return 409, self.state()
         if order['epoch'] <= self.epoch and not self.has_lost_state:
-            return
+            return 200, self.state()
         self.epoch = order['epoch']
         self.step = order['step']
         self.placement = order['placement']
@@ -188,6 +191,7 @@
         self.prepared = None
         self.is_in_step = False
         self.has_lost_state = False
+        return 200, self.state()
 
     def lose_state(self) -> None:
         """Discard all state, as a restarted engine does."""
--- a/tests/simulated_group.py
+++ b/tests/simulated_group.py
@@ -54,7 +54,9 @@
     def __post_init__(self) -> None:
         """Start all ranks in the first epoch under the old placement."""
         for number in range(self.size):
-            self.engines.append(Rank(number, OLD_PLACEMENT[: self.size]))
+            engine = Rank(number, OLD_PLACEMENT[: self.size])
+            engine.incarnation = f'{number}/0'
+            self.engines.append(engine)
             self.participants.append(rankparticipant.RankParticipant(number))
         for number in range(self.size):
             self.refresh_sidecar(number)
@@ -184,6 +186,8 @@
         engine = self.engines[number]
         step = engine.step + int(engine.is_in_step)
         engine.lose_state()
+        # Equal histories must give equal states for the exhaustive search.
+        engine.incarnation = f'{number}/{self.state_losses}'
         if 'epoch' in self.disabled_rules:
             engine.has_lost_state = False
             engine.map_id = 'start'
