Keep long log lines valid JSON; give entries their own routing seed

A line over 4,096 bytes was cut in the middle, so tools that read logs lost it. Its longest fields are shortened now, marked by "shortened": true.

Entries with seed = 0, the default, all drew the same sequence of routing choices. They use their node's name, as the node's other choices do.

Both tests fail on the former code.

--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -314,9 +314,10 @@
         view.in_flight -= 1
 
 
-def make_router(seed: int) -> Router:
+def make_router(seed: int | str) -> Router:
     """Create a router with its own random source.
 
+    :param seed: routers with equal seeds make the same choices.
     :returns: a router without peers.
     """
     return Router(random.Random(seed))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -59,7 +59,7 @@
         settings = node.settings
         self.node = node
         self.settings: Settings = settings
-        self.router = make_router(settings.seed)
+        self.router = make_router(settings.seed or settings.node)
         self.executor = RequestExecutor(node, self.router)
         self.outcomes = OutcomeRecorder(node.metrics)
         location = EntryLocation(settings.node, settings.availability_zone)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/eventlog.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/eventlog.py
@@ -13,9 +13,11 @@
 from comfreyarch_core.logratelimit import LogRateLimiter, make_log_rate_limiter
 
 STDOUT = 1
-# Writes of up to this size to a writable pipe never block; longer lines are
-# cut off.
+# Writes of up to this size to a writable pipe never block; the fields of longer
+# lines are shortened.
 MAX_LINE_BYTES = 4096
+# Fields that are never shortened.
+KEPT_FIELDS = ('at', 'node', 'event')
 
 
 class EventLog:
@@ -50,8 +52,33 @@
         line = {'at': time.time(), 'node': self.node, 'event': event, **fields}
         if suppressed:
             line['left_out'] = suppressed
-        encoded = self.encoder.encode(line)[: MAX_LINE_BYTES - 1]
-        self.emit(b'%b\n' % encoded)
+        self.emit(b'%b\n' % self.encode_bounded(line))
+
+    def encode_bounded(self, line: dict[str, object]) -> bytes:
+        """Encode a line, shortening its longest fields until it fits.
+
+        :returns: valid JSON of less than ``MAX_LINE_BYTES``.
+        """
+        encoded = self.encoder.encode(line)
+        kept = {name: line[name] for name in KEPT_FIELDS}
+        kept['shortened'] = True
+        while len(encoded) >= MAX_LINE_BYTES:
+            sizes = {
+                name: len(self.encoder.encode(content))
+                for name, content in line.items()
+                if name not in kept
+            }
+            longest = max(sizes, key=sizes.__getitem__)
+            text = line[longest]
+            if not isinstance(text, str):
+                text = self.encoder.encode(text).decode()
+            if not text:
+                return self.encoder.encode(kept)
+            excess = len(encoded) - MAX_LINE_BYTES + 1
+            line[longest] = text[: max(0, len(text) - excess)]
+            line.update(kept)
+            encoded = self.encoder.encode(line)
+        return encoded
 
     def emit(self, line: bytes) -> None:
         """Write a line if that does not block, else count it as dropped."""
--- a/tests/test_logratelimit.py
+++ b/tests/test_logratelimit.py
@@ -3,8 +3,11 @@
 A reader that stops or closes the pipe must not block or end the process.
 """
 
+import json
 import os
 
+import pytest
+
 from comfreyarch_core.logratelimit import (
     BURST_LINES,
     LINES_PER_S,
@@ -48,3 +51,28 @@
     assert len(os.read(reader, 20000)) <= MAX_LINE_BYTES
     os.close(reader)
     os.close(writer)
+
+
+# Fails if a long line is cut in the middle of its JSON, so that tools which read
+# logs lose it.
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'why': 'x' * 10000},
+        {'why': '"\\' * 10000},
+        {'why': 'é' * 10000},
+        {'why': 'x' * 3000, 'request': 'y' * 3000},
+        {'ranks': list(range(5000))},
+        {f'field{number}': number for number in range(400)},
+    ],
+)
+def test_a_long_line_stays_valid_json(fields):
+    reader, writer = os.pipe()
+    EventLog('n', writer).write('sent', **fields)
+    line = os.read(reader, 20000)
+    assert len(line) <= MAX_LINE_BYTES
+    decoded = json.loads(line)
+    assert decoded['event'] == 'sent'
+    assert decoded['shortened']
+    os.close(reader)
+    os.close(writer)
--- a/tests/test_roles_configuration.py
+++ b/tests/test_roles_configuration.py
@@ -16,11 +16,11 @@
 UPSTREAM = UpstreamSettings('u', 'http://127.0.0.1:9')
 
 
-def make_node(role):
+def make_node(role, name='n'):
     """Create a node that is not started."""
     settings = Settings(
         role=role,
-        node='n',
+        node=name,
         region='r',
         availability_zone='z',
         link='127.0.0.1:0',
@@ -79,3 +79,13 @@
     assert not role.ready()
     role.apply_config(ConfigSet())
     assert role.ready()
+
+
+# Fails if entries without a configured seed draw the same sequence, so that all
+# choose the same sidecars at the same time.
+def test_entries_without_a_seed_draw_different_choices():
+    draws = {
+        EntryRole(make_node('entry', name)).router.source.random()
+        for name in ('a', 'b', 'c')
+    }
+    assert len(draws) == 3
