--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -59,7 +59,9 @@
     first_map_version,
     highest_version,
     map_state,
+    prepare_resend_s,
     select_ranks_to_arm,
+    select_steps_ahead,
     select_undo_order,
 )
 
@@ -71,11 +73,9 @@
 ARM_TIMEOUT_S = 0.3
 # Interval at which an unanswered order is resent.
 RESEND_S = 0.04
-# Interval at which a prepare order is resent. It is longer than RESEND_S
-# because resending only checks on a copy in progress.
-PREPARE_RESEND_S = 0.15
-# Maximum distance, in steps, from the last step begun to the held step.
-MAX_STEPS_AHEAD = 40
+# Lower bound of the same interval for each rank: orders and answers of a large
+# group take longer to pass the leader's link.
+RESEND_PER_RANK_S = 0.001
 
 
 @dataclass(slots=True)
@@ -104,6 +104,7 @@
     :param deposed: whether a leader with a higher fence was seen; this leader
         then ignores all messages.
     :param steps_ahead: distance from the last step begun to the step to hold.
+    :param steps_ahead_unanswered: the same if an order is unanswered by then.
     :param reached_at: time at which the group reached the held step, or None.
     :param absent_leader: the previous leader while its sidecar is silent.
     :param witnesses: ranks that prove that the absent leader's rank is not
@@ -130,6 +131,7 @@
     last_released: int = -1
     deposed: bool = False
     steps_ahead: int = 1
+    steps_ahead_unanswered: int = 1
     reached_at: float | None = None
     absent_leader: AbsentLeader | None = None
     witnesses: set[int] = field(default_factory=set)
@@ -145,8 +147,8 @@
         match message:
             case Reported(state, number):
                 return self.update_state(state, number, now)
-            case ChangeMap(content, steps_ahead):
-                return self.start_change(content, steps_ahead, now)
+            case ChangeMap():
+                return self.start_change(message, now)
             case Recover(content, absent_leader):
                 self.absent_leader = absent_leader
                 return self.start_recovery(content, now)
@@ -177,20 +179,16 @@
         )
         return agree and self.is_at_rest()
 
-    def start_change(
-        self,
-        content: GroupMap,
-        steps_ahead: int,
-        now: float,
-    ) -> list[Outcome]:
+    def start_change(self, change: ChangeMap, now: float) -> list[Outcome]:
         """Start a change unless one is in progress or must not start."""
         if self.phase != Phase.idle or not self.is_quiescent():
             return []
         if self.states[self.own_rank].step < self.last_released:
             # The released step has not begun yet, or the reading is outdated.
             return []
-        self.target = content
-        self.steps_ahead = max(1, min(MAX_STEPS_AHEAD, steps_ahead))
+        self.target = change.content
+        self.steps_ahead = change.steps_ahead
+        self.steps_ahead_unanswered = change.steps_ahead_unanswered
         self.version = self.next_version()
         self.epoch = self.states[self.own_rank].epoch
         self.recovering = False
@@ -205,7 +203,6 @@
         self.epoch = self.states[self.own_rank].epoch
         self.recovering = True
         self.abort_reason = 'recovered'
-        self.steps_ahead = 1
         if self.absent_leader is not None:
             self.witnesses = find_witnesses(self.states, self.absent_leader)
         return self.enter_phase(Phase.holding, now)
@@ -270,9 +267,13 @@
         rank: int,
         order: EngineOrder,
         now: float,
-        resend_s: float = RESEND_S,
+        resend_s: float = 0,
     ) -> list[Outcome]:
-        """Send an order unless one was sent within the resend interval."""
+        """Send an order unless one was sent within the resend interval.
+
+        :param resend_s: the interval, 0 for the usual one.
+        """
+        resend_s = resend_s or max(RESEND_S, RESEND_PER_RANK_S * self.size)
         if now - self.sent_at.get(rank, -resend_s) < resend_s:
             return []
         state = self.states[rank]
@@ -299,7 +300,14 @@
         return [
             outcome
             for rank in waiting
-            for outcome in self.send_order(rank, order, now, PREPARE_RESEND_S)
+            for outcome in self.send_order(
+                rank,
+                order,
+                now,
+                prepare_resend_s(
+                    self.states.get(rank), self.version, len(waiting)
+                ),
+            )
         ]
 
     def is_switching(self) -> bool:
@@ -350,7 +358,12 @@
             # not be held again.
             return []
         if self.step <= last_begun:
-            self.step = last_begun + self.steps_ahead
+            steps_ahead = select_steps_ahead(
+                self.states, self.steps_ahead, self.steps_ahead_unanswered
+            )
+            if self.recovering:
+                steps_ahead = 1
+            self.step = last_begun + steps_ahead
         return self.send_order(self.hold_rank, HoldStep(self.step), now)
 
     def proceed_from_hold(self, step: int, now: float) -> list[Outcome]:
@@ -422,7 +435,6 @@
     def restart_hold(self, now: float) -> list[Outcome]:
         """Place a new hold and recover the group under it."""
         self.recovering = True
-        self.steps_ahead = 1
         return self.enter_phase(Phase.holding, now)
 
     def start_abort(self, reason: str, now: float) -> list[Outcome]:
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrolmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrolmessages.py
@@ -47,10 +47,13 @@
 
     :param steps_ahead: steps until the map takes effect; the group pauses if
         arming takes longer than these steps.
+    :param steps_ahead_unanswered: the same if a rank has left an order
+        unanswered by then.
     """
 
     content: GroupMap
     steps_ahead: int = 1
+    steps_ahead_unanswered: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
@@ -16,6 +16,46 @@
 # eras.
 FENCE_BITS = 33
 
+# Interval at which a prepare order is resent: resending it to a rank that copies
+# experts only checks on the copy.
+PREPARE_RESEND_S = 0.15
+# Lower bound of that interval for each rank that is sent the order: a map takes
+# long to pass the leader's link.
+PREPARE_RESEND_PER_RANK_S = 0.006
+# The same interval for a rank that reports its copy.
+COPYING_RESEND_S = 1.0
+# Maximum distance, in steps, from the last step begun to the held step.
+MAX_STEPS_AHEAD = 40
+
+
+def prepare_resend_s(
+    state: EngineState | None, version: int, waiting: int
+) -> float:
+    """Return the interval at which a rank's prepare order is resent.
+
+    :param state: the rank's last known state.
+    :param version: version of the map to prepare.
+    :param waiting: number of ranks that have not prepared it.
+    :returns: seconds.
+    """
+    if state is not None and state.copying == version:
+        return COPYING_RESEND_S
+    return max(PREPARE_RESEND_S, PREPARE_RESEND_PER_RANK_S * waiting)
+
+
+def select_steps_ahead(
+    states: dict[int, EngineState], steps: int, steps_unanswered: int
+) -> int:
+    """Select the distance from the last step begun to the step to hold.
+
+    :param steps: distance if all orders are answered.
+    :param steps_unanswered: distance if an order was left unanswered recently.
+    :returns: at least 1.
+    """
+    if any(state.unanswered for state in states.values()):
+        steps = max(steps, steps_unanswered)
+    return max(1, min(MAX_STEPS_AHEAD, steps))
+
 
 def first_map_version(fence: int) -> int:
     """Return the version below all map versions of a leader.
@@ -76,14 +116,15 @@
 
 
 def map_state(state: EngineState) -> tuple[object, ...]:
-    """Return the part of a rank's state that orders about maps change.
+    """Return the part of a rank's state that completed orders change.
 
     :returns: the fields to compare; steps and requests change without orders.
+        A copy in progress calls for no further order, so it is not compared.
     """
     return (
         state.epoch,
         state.version,
-        (state.prepared, state.copying),
+        state.prepared,
         state.armed,
         state.held,
     )
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
@@ -1,31 +1,28 @@
 """Plan a group's next expert map from recent expert counts.
 
-Each set of experts is planned on its own, as a single layer, with ``planner``.
-Changes are applied one by one, and the result is kept whenever the peak rank
-time has fallen enough for the experts copied.
+Each set of experts is planned on its own with ``setplanner``. Changes are
+applied one by one, and the result is kept whenever the peak rank time has
+fallen enough for the experts copied. A leader plans one set at a time and
+handles messages in between.
 """
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from comfreyarch_core.costs import CostModel, LoadSnapshot
 from comfreyarch_core.enginestate import GroupMap
-from comfreyarch_core.moves import Limits
-from comfreyarch_core.planner import Planner
+from comfreyarch_core.setplanner import SetLimits, make_set_planner
 
-# Only expert load counts: a map does not move the ranks' other work.
-EXPERT_COSTS = CostModel(base_ms=0, token_ms=1, request_ms=0)
 # Peak rank time over mean load below which a set gets no further changes.
 BALANCED_SKEW = 1.1
 # Minimum relative reduction of the average peak. A smaller one does not
 # outweigh the disturbance of a map change.
 MIN_GAIN_SHARE = 0.1
-# Minimum reduction of a set's peak over mean per copied expert. On recorded
-# demand of 8 ranks, half of this value doubles the copies and reduces the skew
-# by only a tenth.
-MIN_GAIN_PER_COPY = 0.15
-# Maximum number of changes to one set in one map.
-MAX_CHANGES_PER_SET = 16
+# Minimum reduction of a set's peak over mean per copied expert, multiplied by
+# the number of ranks: a copy occupies one rank, a lower peak shortens the steps
+# of all.
+MIN_GAIN_PER_COPY = 1.2
+# Maximum number of changes to one set in one map, for each rank.
+MAX_CHANGES_PER_RANK = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,32 +83,24 @@
     """
     ranks = len(held)
     mean = sum(loads) / ranks
-    current = [sorted(experts) for experts in held]
+    best = [sorted(experts) for experts in held]
     if mean <= 0:
-        return current, 1, 1
-    planner = Planner(
-        current,
-        LoadSnapshot(list(loads), list(slowness), 0),
-        EXPERT_COSTS,
-        Limits(limits.experts, (limits.capacity,) * ranks),
+        return best, 1, 1
+    planner = make_set_planner(
+        held, loads, slowness, SetLimits(limits.capacity, limits.max_new)
     )
-    before = max(planner.predict_times()) / mean
-    best = current
+    before = planner.peak() / mean
     after = before
     copies = 0
-    for _ in range(MAX_CHANGES_PER_SET):
-        change = planner.best_change()
-        if change is None:
+    for _ in range(MAX_CHANGES_PER_RANK * ranks):
+        if not planner.relieve_slowest():
             break
-        planner.apply(change)
-        copies += change.loads
-        if not is_within_copy_limit(current, planner.placement, limits.max_new):
-            break
-        peak = max(planner.predict_times()) / mean
-        if after - peak >= MIN_GAIN_PER_COPY * copies:
-            best = [sorted(experts) for experts in planner.placement]
+        peak = planner.peak() / mean
+        new_copies = planner.count_copies()
+        if (after - peak) * ranks >= MIN_GAIN_PER_COPY * (new_copies - copies):
+            best = [sorted(experts) for experts in planner.held]
             after = peak
-            copies = 0
+            copies = new_copies
         if peak < BALANCED_SKEW:
             break
     return best, before, after
@@ -133,29 +122,85 @@
     )
 
 
-def plan_map(
+@dataclass(slots=True)
+class MapPlanner:
+    """Plan a map set by set.
+
+    :param content: the map in use.
+    :param loads: how often each expert was recently chosen, by set.
+    :param slowness: factor by rank, 1 for a healthy rank.
+    :param planned: placement, peak over mean before and after, by set.
+    """
+
+    content: GroupMap
+    loads: Sequence[Sequence[float]]
+    limits: MapLimits
+    slowness: Sequence[float]
+    planned: list[tuple[list[list[int]], float, float]] = field(
+        default_factory=list
+    )
+
+    def plan_next_set(self) -> bool:
+        """Plan one more set.
+
+        :returns: False once all sets are planned.
+        """
+        number = len(self.planned)
+        if number == len(self.content):
+            return False
+        self.planned.append(
+            plan_set(
+                self.content[number],
+                self.loads[number],
+                self.limits,
+                self.slowness,
+            )
+        )
+        return True
+
+    def result(self) -> PlannedMap | None:
+        """Return the map planned so far, with all sets planned.
+
+        :returns: None if it gains too little.
+        """
+        before = sum(plan[1] for plan in self.planned) / len(self.planned)
+        after = sum(plan[2] for plan in self.planned) / len(self.planned)
+        if before - after < MIN_GAIN_SHARE * before:
+            return None
+        new_content = tuple(
+            tuple(tuple(held) for held in ranks) for ranks, _, _ in self.planned
+        )
+        return PlannedMap(new_content, before, after)
+
+
+def make_map_planner(
     content: GroupMap,
     loads: Sequence[Sequence[float]],
     limits: MapLimits,
     slowness: Sequence[float] = (),
-) -> PlannedMap | None:
-    """Plan the next map of a group.
+) -> MapPlanner:
+    """Create a planner.
 
     :param content: the map in use.
     :param loads: how often each expert was recently chosen, by set.
     :param slowness: factor by rank; empty if no rank is slow.
-    :returns: the plan, or None if it gains too little.
+    :returns: a planner that has planned no set.
     """
     slowness = slowness or [1.0] * len(content[0])
-    planned = [
-        plan_set(held, chosen, limits, slowness)
-        for held, chosen in zip(content, loads, strict=True)
-    ]
-    before = sum(plan[1] for plan in planned) / len(planned)
-    after = sum(plan[2] for plan in planned) / len(planned)
-    if before - after < MIN_GAIN_SHARE * before:
-        return None
-    new_content = tuple(
-        tuple(tuple(held) for held in ranks) for ranks, _, _ in planned
-    )
-    return PlannedMap(new_content, before, after)
+    return MapPlanner(content, loads, limits, slowness)
+
+
+def plan_map(
+    content: GroupMap,
+    loads: Sequence[Sequence[float]],
+    limits: MapLimits,
+    slowness: Sequence[float] = (),
+) -> PlannedMap | None:
+    """Plan the next map of a group at once.
+
+    :returns: the plan, or None if it gains too little.
+    """
+    planner = make_map_planner(content, loads, limits, slowness)
+    while planner.plan_next_set():
+        continue
+    return planner.result()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -64,9 +64,14 @@
             self.worker.kill(block=False)
         self.sock.close()
 
-    def send(self, message: list[Any], address: str) -> None:
-        """Send a message; it may be lost, for example if a buffer is full."""
-        self.send_encoded(cbor2.dumps(message), address)
+    def send(self, message: list[Any], address: str) -> int:
+        """Send a message; it may be lost, for example if a buffer is full.
+
+        :returns: the size of the datagram in bytes.
+        """
+        encoded = cbor2.dumps(message)
+        self.send_encoded(encoded, address)
+        return len(encoded)
 
     def send_encoded(self, encoded: bytes, address: str) -> None:
         """Send an encoded message and log a failure."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
@@ -1,12 +1,20 @@
 """Store what the ranks of a group reported to their leader."""
 
+import math
+import operator
 from dataclasses import dataclass, field
 
 from comfreyarch_core.enginestate import EngineState, GroupMap
 from comfreyarch_daemon.rankdatagrams import ExpertCounts
 
-# Number of recent counts of each rank that a plan is based on.
+# Number of recent counts of each rank that a plan is based on. Those of a large
+# group are based on fewer, as long as there are enough in all.
 COUNTS_PER_RANK = 2
+MIN_COUNTS_PER_PLAN = 64
+# Time after which a rank without reports counts as silent. Its engine is then
+# contacted directly, which unlike a read by its own sidecar has a cost for the
+# engine.
+RANK_TIMEOUT_S = 0.4
 # Minimum number of expert choices per set for planning a map.
 MIN_CHOICES_PER_SET = 400
 
@@ -78,12 +86,14 @@
             return None
         experts = self.experts_per_set
         total = [0] * (sets * experts)
+        needed = min(
+            COUNTS_PER_RANK, math.ceil(MIN_COUNTS_PER_PLAN / self.size)
+        )
         for kept in self.recent_counts.values():
-            if len(kept) < COUNTS_PER_RANK:
+            if len(kept) < needed:
                 return None
             for counts in kept:
-                for index, count in enumerate(counts.counts):
-                    total[index] += count
+                total = list(map(operator.add, total, counts.counts))
         if sum(total) < MIN_CHOICES_PER_SET * sets:
             return None
         return [
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/healthreporter.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/healthreporter.py
@@ -1,5 +1,6 @@
 """Report the health of a sidecar's engine to the entries."""
 
+from collections.abc import Callable
 from typing import Any
 
 from comfreyarch_core.enginehealth import (
@@ -11,6 +12,7 @@
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthmessages import (
+    HELLO,
     REPEAT_INTERVAL_S,
     SUBSCRIPTION_TIMEOUT_S,
     HealthReport,
@@ -51,6 +53,13 @@
         self.last_sent_at = 0.0
         self.subscribers: dict[str, float] = {}
 
+    def handlers(self) -> dict[str, Callable[[list[Any], str], None]]:
+        """Return the handlers of the messages that this reporter receives.
+
+        :returns: handlers by tag.
+        """
+        return {HELLO: self.handle_hello}
+
     def report_health(self, state: EngineState, now: float) -> None:
         """Update the health from the engine's state and report it.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Callable
-from dataclasses import replace
 
 import gevent
 
@@ -10,8 +9,6 @@
 from comfreyarch_core.enginestate import (
     EngineState,
     GroupMap,
-    HoldStep,
-    ReleaseStep,
 )
 from comfreyarch_core.grouppressure import make_pressure_monitor
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
@@ -28,16 +25,16 @@
     Settled,
     Tick,
 )
-from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.mapplan import PlannedMap, make_map_planner
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.groupreports import GroupReports
+from comfreyarch_daemon.groupreports import RANK_TIMEOUT_S, GroupReports
 from comfreyarch_daemon.leadership import LeaderRow, Leadership, MapRules
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.orderdelivery import OrderDelivery, OrderSender
 from comfreyarch_daemon.rankdatagrams import (
     ExpertCounts,
-    RankOrder,
     StateReport,
 )
 from comfreyarch_daemon.tablesource import StoreCallFailed
@@ -59,28 +56,21 @@
 # The same if an order is unanswered: engines that leave half of the orders
 # unanswered need about a second of resent orders.
 SWITCH_DELAY_UNANSWERED_S = 1.2
+# Time that each rank adds to both.
+SWITCH_DELAY_PER_RANK_S = 0.001
 # Lower bound of a pass time. The first passes are not timed yet.
 MIN_PASS_S = 0.02
-# Readings are numbered by the time at which they were requested, in this unit:
-# a reading requested before an order may arrive after the one that shows the
-# effect of the order.
-READINGS_PER_S = 10_000
-# Usual maximum time from a sidecar's reading to its arrival at the leader.
-REPORT_DELAY_S = 0.008
-# Time after which a rank without reports counts as silent. Its engine is then
-# contacted directly, which unlike a read by its own sidecar has a cost for the
-# engine.
-RANK_TIMEOUT_S = 0.4
+# Pause between planning two sets, in which messages are handled.
+PLAN_PAUSE_S = 0.001
 
 
 class MapLeader:
     """Lead the map changes of a group for one term.
 
     :param must_resign: whether the term is over and another rank should lead.
-    :param send_order: sends an order to a rank's sidecar.
+    :param delivery: sends orders to sidecars and engines.
     :param former: the previous leader, if its rank is known.
     :param find_known_map: returns the map in use if the local sidecar knows it.
-    :param open_engine: opens a connection to the engine at an address.
     :param is_engine_usable: whether the local engine's group is open and not
         stalled.
     :param planned: the plan of the last change.
@@ -90,6 +80,7 @@
 
     __slots__ = (
         'control',
+        'delivery',
         'find_known_map',
         'former',
         'group',
@@ -101,11 +92,9 @@
         'log',
         'metrics',
         'must_resign',
-        'open_engine',
         'planned',
         'pressure',
         'reports',
-        'send_order',
         'unsettled_since',
         'workers',
     )
@@ -116,7 +105,7 @@
         fence: int,
         rules: MapRules,
         leadership: Leadership,
-        send_order: Callable[[RankOrder], None],
+        orders: OrderSender,
         open_engine: Callable[[str], EngineApi],
         log: EventLog,
         metrics: Metrics,
@@ -134,11 +123,17 @@
         self.health = make_health_watch()
         self.is_engine_usable = True
         self.leadership = leadership
-        self.send_order = send_order
-        self.open_engine = open_engine
         self.log = log
         self.metrics = metrics
         self.reports = GroupReports(own_state.size, rules.limits.experts)
+        self.delivery = OrderDelivery(
+            self.control,
+            self.reports,
+            orders,
+            open_engine,
+            log,
+            self.handle_direct_reading,
+        )
         self.planned: PlannedMap | None = None
         self.former: AbsentLeader | None = None
         self.find_known_map: Callable[[EngineState, int], GroupMap | None] = (
@@ -234,102 +229,17 @@
 
     def apply_outcomes(self, outcomes: list[Outcome]) -> None:
         """Apply the outcomes of the map control."""
+        sends = [outcome for outcome in outcomes if isinstance(outcome, Send)]
+        self.delivery.deliver(sends)
         for outcome in outcomes:
-            match outcome:
-                case Send():
-                    self.send(outcome)
-                case Settled(version, why):
-                    self.finish_change(version, why)
-                    self.must_resign = why in {NOT_HELD, DEPOSED}
-
-    def send(self, send: Send) -> None:
-        """Send an order to the rank's sidecar or directly to its engine."""
-        order = RankOrder(
-            self.group,
-            self.fence,
-            send.rank,
-            send.epoch,
-            send.sequence,
-            send.order,
-        )
-        silent_s = boot_time() - self.reports.last_seen_at.get(send.rank, 0)
-        is_own_rank = send.rank == self.control.own_rank
-        is_address_known = send.rank in self.reports.engine_addresses
-        if (
-            is_address_known
-            and not is_own_rank
-            and isinstance(send.order, HoldStep | ReleaseStep)
-        ):
-            # Holds and releases go directly to the engine. A stalled instance
-            # does not answer, and the leader's own may be the next to stall, so
-            # the rank that holds a step should not be the one that sends
-            # orders.
-            gevent.spawn(self.order_directly, order)
-            return
-        if is_own_rank or silent_s < RANK_TIMEOUT_S or not is_address_known:
-            self.send_order(order)
-            return
-        gevent.spawn(self.order_directly, order)
+            if isinstance(outcome, Settled):
+                self.finish_change(outcome.version, outcome.why)
+                self.must_resign = outcome.why in {NOT_HELD, DEPOSED}
 
-    def order_directly(self, order: RankOrder) -> None:
-        """Send an order to an engine directly, bypassing its sidecar."""
-        address = self.reports.engine_addresses[order.rank]
-        engine = self.open_engine(address)
-        try:
-            state = self.try_order(engine, order)
-        except EngineUnavailable as error:
-            self.log.write('engine_silent', rank=order.rank, why=str(error))
-            return
-        finally:
-            engine.close()
-        if state is not None:
-            number = self.estimate_reading_number(order.rank)
-            reported = Reported(state, number)
-            self.apply_outcomes(self.control.handle(reported, boot_time()))
-
-    def estimate_reading_number(self, rank: int) -> int:
-        """Return a number for a direct reading of another rank's engine.
-
-        :returns: the estimated number that the rank's sidecar would assign to
-            a reading now.
-        """
-        last_number = self.control.reading_numbers.get(rank, 0)
-        last_seen_at = self.reports.last_seen_at.get(rank)
-        if last_seen_at is None:
-            return last_number
-        age_s = boot_time() - last_seen_at + REPORT_DELAY_S
-        return last_number + int(age_s * READINGS_PER_S)
-
-    def try_order(
-        self, engine: EngineApi, order: RankOrder
-    ) -> EngineState | None:
-        """Send an order that may get no answer.
-
-        A state read from another instance is some hundred milliseconds old, so
-        an accepted hold or release is taken as proof that it took effect.
-
-        :returns: the engine's state after the order, None if it is unknown.
-        :raises EngineUnavailable: if the state cannot be read.
-        """
-        outcome = 'accepted'
-        try:
-            if not engine.order(order.order, order.epoch, order.sequence):
-                outcome = 'refused'
-        except EngineUnavailable as error:
-            outcome = str(error)
-        self.log.write(
-            'direct_order',
-            rank=order.rank,
-            order=type(order.order).__name__,
-            outcome=outcome,
-        )
-        last_state = self.control.states.get(order.rank)
-        if isinstance(order.order, HoldStep | ReleaseStep):
-            if outcome != 'accepted' or last_state is None:
-                return None
-            holds = isinstance(order.order, HoldStep)
-            return replace(last_state, held=order.order.step if holds else None)
-        return engine.state()
+    def handle_direct_reading(self, state: EngineState, number: int) -> None:
+        """Process the state of an engine that was ordered directly."""
+        reported = Reported(state, number)
+        self.apply_outcomes(self.control.handle(reported, boot_time()))
 
     def finish_change(self, version: int | None, why: str) -> None:
         """Log the end of a change and drop counts of the previous map."""
@@ -423,7 +333,7 @@
                 or self.reports.has_current_experts(rank, own_state)
             ):
                 continue
-            engine = self.open_engine(address)
+            engine = self.delivery.open_engine(address)
             try:
                 held = engine.held()
             except EngineUnavailable as error:
@@ -447,7 +357,10 @@
             return
         states = self.control.states
         slowness = [states[rank].pace for rank in sorted(states)]
-        planned = plan_map(content, loads, self.limits, slowness)
+        planner = make_map_planner(content, loads, self.limits, slowness)
+        while planner.plan_next_set():
+            gevent.sleep(PLAN_PAUSE_S)
+        planned = planner.result()
         if planned is None or not self.is_still_leader():
             return
         self.planned = planned
@@ -461,19 +374,20 @@
             pass_s=round(self.pressure.pass_s, 3),
             slowest=max(slowness),
         )
-        change = ChangeMap(planned.content, self.compute_steps_ahead())
+        change = ChangeMap(
+            planned.content,
+            self.compute_steps_ahead(SWITCH_DELAY_S),
+            self.compute_steps_ahead(SWITCH_DELAY_UNANSWERED_S),
+        )
         self.apply_outcomes(self.control.handle(change, boot_time()))
 
-    def compute_steps_ahead(self) -> int:
+    def compute_steps_ahead(self, delay_s: float) -> int:
         """Return the number of steps until a change takes effect.
 
+        :param delay_s: time in which a small group answers all orders.
         :returns: enough steps for the orders to reach all ranks.
         """
-        states = self.control.states.values()
-        has_unanswered = any(state.unanswered for state in states)
-        delay_s = (
-            SWITCH_DELAY_UNANSWERED_S if has_unanswered else SWITCH_DELAY_S
-        )
+        delay_s += SWITCH_DELAY_PER_RANK_S * self.control.size
         return math.ceil(delay_s / max(MIN_PASS_S, self.pressure.pass_s))
 
     def is_still_leader(self) -> bool:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
@@ -10,6 +10,7 @@
 
 from comfreyarch_core.enginestate import EngineState, GroupMap, PrepareMap
 from comfreyarch_core.mapplan import first_map
+from comfreyarch_core.reportpacing import compute_count_interval
 from comfreyarch_daemon.engineapi import (
     EngineApi,
     EngineUnavailable,
@@ -23,7 +24,8 @@
 # Interval at which the state is read. Reads by the engine's own sidecar cost
 # the engine nothing, only the sidecar's time.
 POLL_INTERVAL_S = 0.15
-# Interval at which counts are read and reported. Demand shifts within seconds.
+# Shortest interval at which counts are read and reported. Demand shifts within
+# seconds.
 COUNT_INTERVAL_S = 0.4
 # Time for which an order without an answer is counted in the reported state.
 UNANSWERED_WINDOW_S = 3.0
@@ -59,6 +61,7 @@
     :param fence: the highest fence seen; orders with a lower one are refused.
     :param held_experts: the rank's experts under the map in use.
     :param counts: expert counts at the last reading, since the engine's start.
+    :param count_interval_s: interval between two readings of counts.
     :param saved_maps: the last maps that leaders ordered this rank to prepare,
         by version.
     :param copying: version of the last map that the engine started to prepare.
@@ -68,6 +71,7 @@
 
     __slots__ = (
         'copying',
+        'count_interval_s',
         'counts',
         'fence',
         'held_experts',
@@ -108,6 +112,7 @@
         self.state: EngineState | None = None
         self.held_experts: HeldExperts | None = None
         self.counts: tuple[int, ...] = ()
+        self.count_interval_s = COUNT_INTERVAL_S
         self.fence = 0
         self.saved_maps: dict[int, GroupMap] = {}
         self.copying: int | None = None
@@ -134,7 +139,7 @@
             try:
                 self.poll()
                 since_count_s += POLL_INTERVAL_S
-                if since_count_s >= COUNT_INTERVAL_S:
+                if since_count_s >= self.count_interval_s:
                     since_count_s = 0
                     self.report_counts()
             except EngineUnavailable as error:
@@ -193,6 +198,20 @@
         )
         self.on_state(self.state, read_started_at, urgent=urgent)
 
+    def pace_counts(self, message_bytes: int, link_bytes_per_s: float) -> None:
+        """Set the interval of count reports after one was sent.
+
+        :param message_bytes: its size.
+        :param link_bytes_per_s: capacity of the leader's link, 0 if unknown.
+        """
+        if self.state is not None:
+            self.count_interval_s = compute_count_interval(
+                message_bytes,
+                self.state.size,
+                link_bytes_per_s,
+                COUNT_INTERVAL_S,
+            )
+
     def report_counts(self) -> None:
         """Read the expert counts and report their increase since the last call.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
@@ -1,7 +1,6 @@
 """Encode and decode the datagrams between the sidecars of a rank group."""
 
 import zlib
-from array import array
 from dataclasses import astuple, dataclass
 from typing import Any
 
@@ -20,12 +19,17 @@
 )
 
 STATE = 'state'
-COUNTS = 'counts'
+COUNTS = 'counts8'
 ORDER = 'order'
+RELAY = 'relay'
 LEAD = 'lead'
 COMPRESSION_LEVEL = 1
-# Counts are sent as unsigned 32-bit integers.
-COUNT_TYPECODE = 'I'
+# Readings are numbered by the time at which they were requested, in this unit:
+# a reading requested before an order may arrive after the one that shows the
+# effect of the order.
+READINGS_PER_S = 10_000
+# Counts are sent in units of a power of two, so that the highest fits a byte.
+MAX_SENT_COUNT = 255
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +109,7 @@
         state.running,
         state.waiting,
         state.unanswered,
+        state.copying,
     ]
 
 
@@ -120,11 +125,19 @@
 
 
 def encode_counts(counts: ExpertCounts) -> list[Any]:
-    """Encode expert counts, compressed.
+    """Encode expert counts, rounded and compressed.
+
+    A leader of a hundred ranks receives them from each of these all the time.
 
     :returns: a message.
     """
-    packed = array(COUNT_TYPECODE, counts.counts).tobytes()
+    highest = max(counts.counts, default=0)
+    unit_bits = max(0, highest.bit_length() - MAX_SENT_COUNT.bit_length())
+    half = (1 << unit_bits) >> 1
+    packed = bytes(
+        min(MAX_SENT_COUNT, (count + half) >> unit_bits)
+        for count in counts.counts
+    )
     return [
         COUNTS,
         counts.group,
@@ -132,6 +145,7 @@
         counts.epoch,
         counts.version,
         [list(experts) for experts in counts.experts],
+        unit_bits,
         zlib.compress(packed, COMPRESSION_LEVEL),
     ]
 
@@ -142,16 +156,14 @@
     :returns: the counts.
     """
     group, rank, epoch, version = message[1:5]
-    experts, packed = message[5:7]
-    counts = array(COUNT_TYPECODE)
-    counts.frombytes(zlib.decompress(packed))
+    experts, unit_bits, packed = message[5:8]
     return ExpertCounts(
         group,
         rank,
         epoch,
         version,
         tuple(tuple(set_experts) for set_experts in experts),
-        tuple(counts),
+        tuple(count << unit_bits for count in zlib.decompress(packed)),
     )
 
 
@@ -160,7 +172,22 @@
 
     :returns: a message.
     """
-    order = rank_order.order
+    return [
+        ORDER,
+        rank_order.group,
+        rank_order.fence,
+        rank_order.rank,
+        rank_order.epoch,
+        rank_order.sequence,
+        encode_engine_order(rank_order.order),
+    ]
+
+
+def encode_engine_order(order: EngineOrder) -> list[Any]:
+    """Encode the order to the engine.
+
+    :returns: the kind of order and its fields.
+    """
     fields: list[Any] = [type(order).__name__]
     match order:
         case PrepareMap(version, content):
@@ -171,15 +198,7 @@
             fields.append(version)
         case HoldStep(step) | ReleaseStep(step):
             fields.append(step)
-    return [
-        ORDER,
-        rank_order.group,
-        rank_order.fence,
-        rank_order.rank,
-        rank_order.epoch,
-        rank_order.sequence,
-        fields,
-    ]
+    return fields
 
 
 def decode_order(message: list[Any]) -> RankOrder:
@@ -200,6 +219,49 @@
     )
 
 
+def encode_relayed_order(leader: str, order: RankOrder) -> list[Any]:
+    """Encode an order to a relay group without its targets.
+
+    :param leader: datagram address of the leader.
+    :param order: the order of any target.
+    :returns: a message that lacks its last item, the list of encoded targets,
+        the receiver first.
+    """
+    return [
+        RELAY,
+        leader,
+        order.group,
+        order.fence,
+        order.epoch,
+        encode_engine_order(order.order),
+    ]
+
+
+def encode_target(order: RankOrder, address: str) -> list[Any]:
+    """Encode what an order to one target of a relay group has of its own.
+
+    :param address: datagram address of the target's sidecar.
+    :returns: an item of the list of targets.
+    """
+    return [order.rank, order.sequence, address]
+
+
+def decode_relayed_order(message: list[Any]) -> tuple[RankOrder, str]:
+    """Decode the receiver's order of a relay group.
+
+    :returns: the order and the leader's address.
+    :raises ValueError: if there is no target or the order is unknown.
+    """
+    leader, group, fence = message[1:4]
+    epoch, fields, targets = message[4:7]
+    if not targets:
+        raise ValueError('relayed order without a target; the sender is faulty')
+    rank, sequence, _ = targets[0]
+    engine_order = decode_engine_order(fields)
+    order = RankOrder(group, fence, rank, epoch, sequence, engine_order)
+    return order, leader
+
+
 def decode_engine_order(fields: list[Any]) -> EngineOrder:
     """Decode the order to the engine.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -15,19 +15,21 @@
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.healthmessages import HELLO
 from comfreyarch_daemon.healthreporter import HealthReporter
 from comfreyarch_daemon.leadership import LeaderRow, Term
-from comfreyarch_daemon.mapleader import READINGS_PER_S, MapLeader
+from comfreyarch_daemon.mapleader import MapLeader
 from comfreyarch_daemon.maprules import MapRulesReader
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.monitoringpages import MetricsPage, make_page_server
 from comfreyarch_daemon.nodeprocess import NodeControls, run_node
+from comfreyarch_daemon.orderchannel import OrderChannel
 from comfreyarch_daemon.rankagent import RankAgent
 from comfreyarch_daemon.rankdatagrams import (
     COUNTS,
     LEAD,
     ORDER,
+    READINGS_PER_S,
+    RELAY,
     STATE,
     ExpertCounts,
     LeaderAnnouncement,
@@ -37,9 +39,7 @@
     decode_counts,
     decode_order,
     decode_state,
-    encode_announcement,
     encode_counts,
-    encode_order,
     encode_state,
 )
 from comfreyarch_daemon.ranksettings import RankAdapter
@@ -88,6 +88,7 @@
     :param contacted_fences: fences of leaders to which this rank has sent its
         state unasked.
     :param earliest_claim_at: time before which this rank does not try to lead.
+    :param announcements: number of announcements sent in this rank's term.
     :param last_sent: the state sent last, with the step and the request counts
         set to 0.
     :param last_sent_at: time at which it was sent.
@@ -99,6 +100,7 @@
     address: str = ''
     contacted_fences: set[int] = field(default_factory=set)
     earliest_claim_at: float = 0
+    announcements: int = 0
     last_sent: EngineState | None = None
     last_sent_at: float = 0
 
@@ -131,6 +133,7 @@
         'log',
         'metrics',
         'metrics_server',
+        'orders',
         'path',
         'peer_directory',
         'peer_states',
@@ -151,11 +154,16 @@
         self.metrics = Metrics()
         self.datagrams = Datagrams(settings.peers, self.log)
         self.health = HealthReporter(settings.engine, self.datagrams, self.log)
+        self.addresses: dict[int, str] = {}
+        self.orders = OrderChannel(
+            self.datagrams, settings.peers, self.addresses, self.accept_order
+        )
         self.datagrams.handlers = {
-            HELLO: self.health.handle_hello,
+            **self.health.handlers(),
             STATE: self.handle_state,
             COUNTS: self.handle_counts,
             ORDER: self.handle_order,
+            RELAY: self.orders.handle_relayed_order,
             LEAD: self.handle_announcement,
         }
         self.agent = RankAgent(
@@ -180,7 +188,6 @@
         self.leader_view = LeaderView(
             process_started_at=boot_time(), leader_seen_at=boot_time()
         )
-        self.addresses: dict[int, str] = {}
         self.peer_states: dict[int, StateReport] = {}
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
@@ -335,7 +342,10 @@
         if self.leader is not None:
             self.leader.reports.handle_counts(counts)
         elif self.leader_view.address:
-            self.datagrams.send(encode_counts(counts), self.leader_view.address)
+            size = self.datagrams.send(
+                encode_counts(counts), self.leader_view.address
+            )
+            self.agent.pace_counts(size, self.settings.link_bytes_per_s)
 
     def handle_state(self, message: list[Any], address: str) -> None:
         """Process the state of another rank of this group."""
@@ -357,7 +367,13 @@
 
     def handle_order(self, message: list[Any], address: str) -> None:
         """Process a leader's order to this rank."""
-        order = decode_order(message)
+        self.accept_order(decode_order(message), address)
+
+    def accept_order(self, order: RankOrder, address: str) -> None:
+        """Pass a leader's order to the local engine.
+
+        :param address: datagram address of the leader.
+        """
         own_state = self.agent.state
         if (
             own_state is None
@@ -365,7 +381,8 @@
             or own_state.rank != order.rank
         ):
             return
-        self.follow_leader(order.fence, address)
+        if address != self.settings.peers:
+            self.follow_leader(order.fence, address)
         self.agent.enqueue_order(order)
 
     def handle_announcement(self, message: list[Any], address: str) -> None:
@@ -394,16 +411,6 @@
             self.leader = None
             self.leader_view.earliest_claim_at = boot_time() + MAX_ORDER_DELAY_S
 
-    def send_order(self, order: RankOrder) -> None:
-        """Send an order to a sidecar or queue it for the local engine."""
-        own_state = self.agent.state
-        if own_state is not None and order.rank == own_state.rank:
-            self.agent.enqueue_order(order)
-            return
-        address = self.addresses.get(order.rank)
-        if address is not None:
-            self.datagrams.send(encode_order(order), address)
-
     def run_leadership(self) -> None:
         """Announce this sidecar's term, or claim leadership after a timeout."""
         while True:
@@ -511,7 +518,7 @@
             fence,
             rules,
             self.leadership,
-            self.send_order,
+            self.orders,
             self.adapter.open_engine,
             self.log,
             self.metrics,
@@ -525,18 +532,17 @@
             ):
                 self.leader.add_earlier_report(report)
         self.leader.start()
+        self.leader_view.announcements = 0
         announce_leader(self, self.leader)
 
 
 def announce_leader(node: RankNode, leader: MapLeader) -> None:
-    """Announce the leader to all sidecars of its group."""
+    """Announce the leader to the sidecars that are due for it."""
     announcement = LeaderAnnouncement(
         leader.group, leader.fence, node.settings.node
     )
-    message = encode_announcement(announcement)
-    for address in node.addresses.values():
-        if address != node.settings.peers:
-            node.datagrams.send(message, address)
+    node.orders.announce(announcement, node.leader_view.announcements)
+    node.leader_view.announcements += 1
 
 
 def make_row_name(state: EngineState) -> str:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranksettings.py
@@ -19,6 +19,7 @@
     :param engine: address of the local engine.
     :param service: name of the engine's service.
     :param store: address of the platform's store.
+    :param link_bytes_per_s: capacity of the instance's link, 0 if unknown.
     """
 
     node: str
@@ -27,6 +28,7 @@
     engine: str
     service: str
     store: str
+    link_bytes_per_s: float = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablerelay.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablerelay.py
@@ -32,7 +32,7 @@
 
     __slots__ = ('assemblers', 'send')
 
-    def __init__(self, send: Callable[[list[Any], str], None]) -> None:
+    def __init__(self, send: Callable[[list[Any], str], object]) -> None:
         """Prepare without peers."""
         self.send = send
         self.assemblers: dict[str, SnapshotAssembler] = {}
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -57,7 +57,7 @@
         self,
         log: EventLog,
         metrics: Metrics,
-        send: Callable[[list[Any], str], None],
+        send: Callable[[list[Any], str], object],
     ) -> None:
         """Prepare without tables; ``add`` adds them.
 
--- /dev/null
+++ b/tests/test_large_group.py
@@ -0,0 +1,388 @@
+"""Change the map of groups of up to 96 ranks over slow links.
+
+The leader, its orders and their relays are the product's; engines, links and
+time are simulated. Only a group that loses none of its leader's announcements
+keeps the leader, and only small orders leave room for them on its link.
+"""
+
+import heapq
+import random
+from dataclasses import replace
+from itertools import count
+
+import cbor2
+import pytest
+from direct_world import RecordingLog
+
+from comfreyarch_core import relaygroups
+from comfreyarch_core.enginestate import HoldStep, ReleaseStep
+from comfreyarch_core.grouppressure import ServiceLimits
+from comfreyarch_core.mapcontrolmessages import ChangeMap, Tick
+from comfreyarch_core.mapplan import MapLimits, first_map
+from comfreyarch_core.reportpacing import (
+    compute_count_interval,
+    is_announcement_due,
+)
+from comfreyarch_daemon import mapleader, orderdelivery
+from comfreyarch_daemon.leadership import MapRules
+from comfreyarch_daemon.mapleader import (
+    SWITCH_DELAY_S,
+    SWITCH_DELAY_UNANSWERED_S,
+    MapLeader,
+)
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.orderchannel import OrderChannel
+from comfreyarch_daemon.rankagent import UNANSWERED_WINDOW_S
+from comfreyarch_daemon.rankdatagrams import (
+    ORDER,
+    READINGS_PER_S,
+    ExpertCounts,
+    LeaderAnnouncement,
+    RankOrder,
+    StateReport,
+    decode_counts,
+    decode_order,
+    encode_counts,
+    encode_state,
+)
+from comfreyarch_daemon.ranknode import ANNOUNCE_INTERVAL_S, LEADER_TIMEOUT_S
+from standins.rankgroup import Group
+
+LINK_BYTES_PER_S = 375_000.0
+LATENCY_S = 0.0014
+# Time that an engine takes to answer its sidecar.
+ANSWER_S = 0.005
+# Time after which a sidecar gives up an order to its engine.
+ORDER_TIMEOUT_S = 0.06
+COPY_S = 0.1
+PASS_S = 0.1
+REPORT_INTERVAL_S = 0.3
+SETS = 16
+PLACES = 3
+
+
+class World:
+    """Simulate the sidecars, engines and links of one group."""
+
+    def __init__(self, size, unanswered_share, monkeypatch):
+        self.size = size
+        self.unanswered_share = unanswered_share
+        self.random = random.Random(size)
+        self.now = 1000.0
+        self.numbers = count()
+        self.events = []
+        self.link_free_at = {}
+        self.group = Group(size, step=10)
+        self.copying = {}
+        self.unanswered = {}
+        self.heard_at = []
+        self.announcements = 0
+        self.bytes_sent = 0
+        for module in (mapleader, orderdelivery):
+            monkeypatch.setattr(module, 'boot_time', lambda: self.now)
+        monkeypatch.setattr(orderdelivery.gevent, 'spawn', self.spawn)
+        self.addresses = {rank: f'10.0.0.{rank}:1' for rank in range(size)}
+        self.ranks = {name: rank for rank, name in self.addresses.items()}
+        self.channels = {
+            rank: OrderChannel(
+                Link(self, rank), name, self.addresses, self.make_executor(rank)
+            )
+            for rank, name in self.addresses.items()
+        }
+        self.log = RecordingLog()
+        limits = MapLimits(2 * size, PLACES, 2)
+        self.leader = MapLeader(
+            self.read_state(0),
+            7,
+            MapRules(limits, ServiceLimits(6, 0.15)),
+            None,
+            self.channels[0],
+            lambda address: DirectEngine(self, int(address)),
+            self.log,
+            Metrics(),
+        )
+
+    def spawn(self, function, *arguments):
+        """Run a greenlet of the leader at once."""
+        self.schedule(0, lambda: function(*arguments))
+
+    def schedule(self, delay_s, action):
+        """Run an action later."""
+        entry = (self.now + delay_s, next(self.numbers), action)
+        heapq.heappush(self.events, entry)
+
+    def send(self, sender, size, action, receiver):
+        """Pass a datagram over the links of its sender and its receiver."""
+        ready_at = self.now
+        for end in (('out', sender), ('in', receiver)):
+            ready_at = max(ready_at, self.link_free_at.get(end, 0))
+            ready_at += (size + 28) / LINK_BYTES_PER_S
+            self.link_free_at[end] = ready_at
+        self.bytes_sent += size
+        self.schedule(ready_at - self.now + LATENCY_S, action)
+
+    def read_state(self, rank):
+        """Read an engine's state."""
+        state = self.group.state(rank)
+        unanswered = [
+            time
+            for time in self.unanswered.get(rank, [])
+            if self.now - time < UNANSWERED_WINDOW_S
+        ]
+        return replace(
+            state,
+            copying=self.copying.get(rank),
+            running=4,
+            group='g',
+            unanswered=len(unanswered),
+        )
+
+    def report(self, rank):
+        """Send an engine's state to the leader."""
+        number = int(self.now * READINGS_PER_S)
+        report = StateReport(str(rank), self.read_state(rank), number)
+        if rank == 0:
+            self.leader.handle_state(report)
+            return
+        size = len(cbor2.dumps(encode_state(report)))
+        self.send(rank, size, lambda: self.leader.handle_state(report), 0)
+
+    def make_executor(self, rank):
+        """Create the function that takes orders to a rank."""
+
+        def execute(order: RankOrder, leader: str) -> None:
+            assert leader == self.addresses[0]
+            assert order.rank == rank
+            if self.random.random() < self.unanswered_share:
+                self.unanswered.setdefault(rank, []).append(self.now)
+                late_s = self.random.uniform(2, 12)
+                self.schedule(late_s, lambda: self.apply(rank, order.order))
+                self.schedule(ORDER_TIMEOUT_S, lambda: self.report(rank))
+                return
+            self.schedule(ANSWER_S, lambda: self.apply(rank, order.order))
+
+        return execute
+
+    def apply(self, rank, order):
+        """Let an engine execute an order, and its sidecar report the result."""
+        engine = self.group.engines[rank]
+        before = engine.prepared
+        accepted = self.group.apply_order(rank, order)
+        if accepted and engine.prepared != before:
+            # The copy takes a while; until then the engine is not prepared.
+            prepared, engine.prepared = engine.prepared, before
+            self.copying[rank] = prepared[0]
+            self.schedule(COPY_S, lambda: self.end_copy(rank, prepared))
+        self.report(rank)
+        return accepted
+
+    def end_copy(self, rank, prepared):
+        """Complete the copy of a prepared map."""
+        self.group.engines[rank].prepared = prepared
+        self.report(rank)
+
+    def start(self):
+        """Start the periodic work of all parts."""
+        for rank in range(self.size):
+            delay_s = self.random.uniform(0, REPORT_INTERVAL_S)
+            self.schedule(
+                0 if rank == 0 else delay_s,
+                lambda rank=rank: self.repeat(
+                    REPORT_INTERVAL_S, lambda: self.report(rank)
+                ),
+            )
+        self.repeat(0.02, self.tick)
+        self.repeat(ANNOUNCE_INTERVAL_S, self.announce)
+        self.repeat(PASS_S, self.group.start_step)
+
+    def repeat(self, interval_s, action):
+        """Run an action periodically."""
+        action()
+        self.schedule(interval_s, lambda: self.repeat(interval_s, action))
+
+    def tick(self):
+        """Advance the leader."""
+        self.leader.last_tick_at = self.now
+        self.leader.apply_outcomes(self.leader.control.handle(Tick(), self.now))
+
+    def announce(self):
+        """Announce the leader."""
+        announcement = LeaderAnnouncement('g', 7, 'n')
+        self.channels[0].announce(announcement, self.announcements)
+        self.announcements += 1
+
+    def hear(self, rank):
+        """Record an announcement at the rank that claims first."""
+        if rank == 1:
+            self.heard_at.append(self.now)
+
+    def run(self, seconds):
+        """Let time pass."""
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+            assert not self.group.violation
+        self.now = end
+
+    def change(self, timeout_s):
+        """Change the map; return the result and the time that it took."""
+        content = make_content(self.size, self.random)
+        started_at = self.now
+        change = ChangeMap(
+            content,
+            self.leader.compute_steps_ahead(SWITCH_DELAY_S),
+            self.leader.compute_steps_ahead(SWITCH_DELAY_UNANSWERED_S),
+        )
+        self.leader.control.content = first_map(SETS, 2 * self.size, self.size)
+        self.leader.apply_outcomes(self.leader.control.handle(change, self.now))
+        while self.now - started_at < timeout_s:
+            self.run(0.02)
+            settled = [
+                fields
+                for name, fields in self.log.events
+                if name == 'map_settled'
+            ]
+            if settled:
+                return settled[0]['why'], self.now - started_at
+        return 'timeout', timeout_s
+
+    def longest_silence_s(self):
+        """Return the longest time without an announcement at rank 1."""
+        pairs = zip(self.heard_at, self.heard_at[1:], strict=False)
+        gaps = [later - earlier for earlier, later in pairs]
+        return max([*gaps, self.now - self.heard_at[-1]])
+
+
+class Link:
+    """Stand in for a sidecar's datagram socket."""
+
+    def __init__(self, world, rank):
+        self.world = world
+        self.rank = rank
+
+    def send_encoded(self, encoded, address):
+        """Send an announcement over the simulated links."""
+        receiver = self.world.ranks[address]
+        self.world.send(
+            self.rank,
+            len(encoded),
+            lambda: self.world.hear(receiver),
+            receiver,
+        )
+
+    def send(self, message, address):
+        """Send a message over the simulated links."""
+        receiver = self.world.ranks[address]
+        channel = self.world.channels[receiver]
+
+        def deliver():
+            if message[0] == ORDER:
+                channel.on_order(
+                    decode_order(message), self.world.addresses[self.rank]
+                )
+            else:
+                channel.handle_relayed_order(message, address)
+
+        size = len(cbor2.dumps(message))
+        self.world.send(self.rank, size, deliver, receiver)
+
+
+class DirectEngine:
+    """Stand in for a connection from the leader to another rank's engine."""
+
+    def __init__(self, world, rank):
+        self.world = world
+        self.rank = rank
+
+    def order(self, order, _epoch, _sequence):
+        """Execute a hold or release."""
+        assert isinstance(order, HoldStep | ReleaseStep), 'a map sent directly'
+        return self.world.group.apply_order(self.rank, order)
+
+    def close(self):
+        """Close nothing."""
+
+
+def make_content(size, source):
+    """Create a map in which each rank gets one more expert of each set."""
+    base = first_map(SETS, 2 * size, size)
+    return tuple(
+        tuple((*held, source.randrange(2 * size)) for held in ranks)
+        for ranks in base
+    )
+
+
+def make_world(size, unanswered_share, monkeypatch):
+    """Create a group that has been led for two seconds."""
+    world = World(size, unanswered_share, monkeypatch)
+    world.start()
+    world.run(2)
+    return world
+
+
+@pytest.mark.parametrize(('size', 'target_s'), [(8, 0.5), (63, 0.5), (96, 0.5)])
+def test_a_change_settles_and_the_leader_is_heard(size, target_s, monkeypatch):
+    """Fails if a change to a map takes the whole link of the leader."""
+    world = make_world(size, 0, monkeypatch)
+    result, seconds = world.change(5)
+    assert result == 'changed'
+    assert seconds <= target_s
+    assert world.longest_silence_s() < LEADER_TIMEOUT_S
+
+
+def test_a_change_settles_while_half_of_the_orders_are_unanswered(monkeypatch):
+    world = make_world(96, 0.5, monkeypatch)
+    result, seconds = world.change(5)
+    assert result == 'changed'
+    assert seconds <= 3
+    assert world.longest_silence_s() < LEADER_TIMEOUT_S
+
+
+def test_without_relays_the_leader_is_not_heard(monkeypatch):
+    """Show that the simulation finds the fault that relays prevent."""
+    monkeypatch.setattr(relaygroups, 'MAX_DIRECT_RANKS', 1000)
+    world = make_world(96, 0, monkeypatch)
+    world.change(2)
+    assert world.longest_silence_s() > LEADER_TIMEOUT_S
+
+
+@pytest.mark.parametrize('count', [1, 16, 17, 96, 384])
+def test_relay_groups_hold_each_rank_once_and_change_their_relays(count):
+    ranks = list(range(100, 100 + count))
+    first = relaygroups.split_into_relay_groups(ranks, 0)
+    second = relaygroups.split_into_relay_groups(ranks, 1)
+    assert sorted(rank for group in first for rank in group) == ranks
+    assert sorted(rank for group in second for rank in group) == ranks
+    if count > relaygroups.MAX_DIRECT_RANKS:
+        assert len(first) <= 1 + count**0.5
+        assert {group[0] for group in first} != {group[0] for group in second}
+
+
+def test_counts_of_a_large_group_leave_most_of_the_link_free():
+    interval_s = compute_count_interval(2000, 96, LINK_BYTES_PER_S, 0.4)
+    assert 96 * 2000 / interval_s < LINK_BYTES_PER_S / 3
+    assert compute_count_interval(2000, 8, LINK_BYTES_PER_S, 0.4) == 0.4
+    assert compute_count_interval(2000, 96, 0, 0.4) == 0.4
+
+
+def test_counts_are_rounded_to_within_half_a_percent_of_the_highest():
+    source = random.Random(1)
+    counts = tuple(source.randrange(90_000) for _ in range(3072))
+    sent = ExpertCounts('g', 1, 1, 0, ((1,),), counts)
+    received = decode_counts(encode_counts(sent))
+    assert received.experts == sent.experts
+    errors = [
+        abs(new - old) for new, old in zip(received.counts, counts, strict=True)
+    ]
+    assert max(errors) <= max(counts) / 128
+
+
+def test_every_rank_hears_announcements_before_it_would_claim():
+    """Fails if a rank that gets few announcements claims leadership."""
+    for rank in range(1, 384):
+        heard = [n for n in range(200) if is_announcement_due(rank, n)]
+        pairs = zip(heard, heard[1:], strict=False)
+        gap_s = ANNOUNCE_INTERVAL_S * max(b - a for a, b in pairs)
+        # Two announcements in a row may be lost.
+        assert 3 * gap_s <= LEADER_TIMEOUT_S + 0.25 * rank
