Count a retry when it is sent, and none of the allowance after a start

Cause (docs/incidents/retry-budget.md): the budget was charged when a send failed, while the next one arrived up to the caller's patience later, beside the retries of the next window; and an entry that restarted began with a full allowance while its predecessor's retries lay in the window.

A retry is reserved at the failure and charged as it is written; an entry has no allowance for one window after its start; the highest number of entries in the window shares the allowance. A send that reached no upstream is no longer charged.

Ruled out: sends without a charge; the ratio of an entry's own requests. Not tested: pauses of real processes.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -206,7 +206,7 @@
             self.check_era()
             entries = self.load_gossip.count_entries()
             if entries is not None:
-                self.entry.forwarder.entries = entries
+                self.entry.forwarder.entry_count.record(entries, boot_time())
             self.tables.report_ages()
             self.entry.forwarder.pool.trim()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -7,6 +7,7 @@
 
 from comfreyarch_core.refusals import Refusal
 from comfreyarch_core.retryshare import (
+    EntryCount,
     RetryLimits,
     RetryShare,
     make_retry_share,
@@ -91,7 +92,8 @@
 class Forwarder:
     """Hold the state that all requests of a direct entry share.
 
-    :param entries: number of entries that share the retry budget.
+    :param entry_count: number of entries that share the retry budget.
+    :param started_at: start of the entry.
     :param on_leaving: called with the name of an upstream whose answer
         announces that it leaves.
     :param crash_guard: detects and bars requests that crash upstreams.
@@ -101,7 +103,7 @@
     __slots__ = (
         'crash_guard',
         'dispatcher',
-        'entries',
+        'entry_count',
         'header_codec',
         'log',
         'metrics',
@@ -111,6 +113,7 @@
         'retry_limits',
         'retry_shares',
         'selector',
+        'started_at',
     )
 
     def __init__(
@@ -131,7 +134,9 @@
         self.pool = ConnectionPool()
         self.crash_guard = SharedCrashGuard(log)
         self.retry_shares: dict[str, RetryShare] = {}
-        self.entries = ASSUMED_ENTRIES
+        self.started_at = boot_time()
+        self.entry_count = EntryCount(retry_limits.window_s)
+        self.entry_count.record(ASSUMED_ENTRIES, self.started_at)
         self.on_leaving: Callable[[str], None] = ignore
         self.random_source: random.Random = self.selector.source
 
@@ -142,9 +147,9 @@
         """
         share = self.retry_shares.get(service)
         if share is None:
-            share = make_retry_share(self.retry_limits, self.entries)
+            share = make_retry_share(self.retry_limits, self.started_at, 1)
             self.retry_shares[service] = share
-        share.entries = self.entries
+        share.entries = self.entry_count.highest(boot_time())
         return share
 
     def record_leaving(self, name: str, source: str = 'answer') -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -24,6 +24,11 @@
     ForwardingFailed,
 )
 from comfreyarch_daemon.headercodec import AnswerHead, SendContext
+from comfreyarch_daemon.requestretries import (
+    BUDGET_USED,
+    RequestRetries,
+    RetryRefused,
+)
 from comfreyarch_daemon.upstreamcalls import (
     AnswerTimeout,
     CallError,
@@ -46,9 +51,8 @@
 # Lower bound of that time, and the silence tolerated within an answer: engines
 # pause for preempted work.
 MIN_SILENCE_S = 0.7
-# Reasons why a failed request is not sent again.
+# Reason why a failed request is not sent again.
 NO_MORE_SENDS = 'no further send is allowed'
-BUDGET_USED = 'the retry budget is used up'
 # Lower bound of the time after which a refused caller should retry.
 MIN_RETRY_AFTER_S = 0.2
 # Upper bound of that time, as a fraction of the time left to the deadline.
@@ -112,6 +116,7 @@
     :param last_upstream: name of the upstream of the last send.
     :param final_error: error answer to forward because no further send
         follows.
+    :param retries: accounts the retries of this request.
     """
 
     __slots__ = (
@@ -122,6 +127,7 @@
         'has_started',
         'last_error',
         'last_upstream',
+        'retries',
         'splitter',
         'tracker',
     )
@@ -141,8 +147,14 @@
         self.has_started = False
         self.last_upstream = ''
         self.final_error: tuple[AnswerStart, bytes] | None = None
+        self.retries = RequestRetries(forwarder, call.service)
 
     def close(self) -> None:
+        """Abort the exchange in progress, if any, and cancel its retry."""
+        self.retries.cancel()
+        self.abort_exchange()
+
+    def abort_exchange(self) -> None:
         """Abort the exchange in progress, if any, and release its slot."""
         exchange, self.exchange = self.exchange, None
         if exchange is None:
@@ -168,6 +180,9 @@
         while True:
             try:
                 yield from self.send_once()
+            except RetryRefused as error:
+                self.abort_exchange()
+                self.end_without_resend(str(error))
             except CallError as error:
                 self.handle_failure(error)
             else:
@@ -222,6 +237,7 @@
             waited_s=round(now - call.received_at, 3),
             left_s=round(call.deadline - now, 3),
         )
+        self.retries.record_send()
         request = self.encode_request(name)
         left_s = call.deadline - boot_time()
         connection.send(request, call.method, left_s)
@@ -523,11 +539,9 @@
         name = self.last_upstream
         self.tracker.record_failure(name, failure)
         self.record_upstream_failure(name, failure, now)
-        self.close()
+        self.abort_exchange()
         stop_reason = '' if self.tracker.may_send(now) else NO_MORE_SENDS
-        if not stop_reason and not self.forwarder.retry_share(
-            self.call.service,
-        ).take(now):
+        if not stop_reason and not self.retries.reserve(now):
             stop_reason = BUDGET_USED
         self.forwarder.log.write(
             'send_failed',
--- a/tests/direct_world.py
+++ b/tests/direct_world.py
@@ -1,5 +1,7 @@
 """Run a direct entry with scripted upstreams in one gevent loop."""
 
+import math
+
 import gevent
 from gevent import socket
 from gevent.queue import Queue
@@ -176,7 +178,9 @@
                 limits or CallerLimits(),
             ),
         )
-        self.entry.forwarder.entries = 1
+        forwarder = self.entry.forwarder
+        forwarder.entry_count.seen_at = {1: math.inf}
+        forwarder.started_at = -math.inf
         self.entry.replace_upstreams(
             [upstream.entry for upstream in self.upstreams]
         )
--- a/tests/test_retryshare.py
+++ b/tests/test_retryshare.py
@@ -7,23 +7,28 @@
 LIMITS = RetryLimits(ratio=0.2, allowance=184, window_s=10)
 
 
+def take(share, now):
+    """Reserve a retry and send it at once."""
+    return share.reserve(now) and share.spend(now)
+
+
 def test_the_allowance_is_shared():
-    share = make_retry_share(LIMITS, 10)
-    taken = sum(share.take(0) for _ in range(100))
+    share = make_retry_share(LIMITS, -100, 10)
+    taken = sum(take(share, 0) for _ in range(100))
     assert taken <= LIMITS.allowance / 10
 
 
 def test_requests_earn_repeats_in_their_window_only():
-    share = make_retry_share(RetryLimits(0.2, 0, 10), 1)
+    share = make_retry_share(RetryLimits(0.2, 0, 10), -100, 1)
     for _ in range(100):
         share.record_request(0)
-    assert sum(share.take(5) for _ in range(100)) <= 20
-    assert not share.take(25)
+    assert sum(take(share, 5) for _ in range(100)) <= 20
+    assert not take(share, 25)
 
 
 def test_all_entries_together_stay_below_the_sum_in_any_window():
     source = random.Random(7)
-    shares = [make_retry_share(LIMITS, 8) for _ in range(8)]
+    shares = [make_retry_share(LIMITS, -100, 8) for _ in range(8)]
     requests: list[float] = []
     retries: list[float] = []
     for tick in range(4000):
@@ -33,7 +38,7 @@
             share.record_request(now)
             requests.append(now)
         while source.random() < 0.8:
-            if share.take(now):
+            if take(share, now):
                 retries.append(now)
     for start in range(30):
         retried = [at for at in retries if start <= at < start + 10]
