Bound what an upstream's answer may take of an entry

An upstream may send bytes that are no answer without end. The issue's figures on: one header value 55 MiB in 8 s without an error, headers a peak of 979 MB, interim answers 64 MiB; a body in chunks was held until the deadline. Reads that found bytes neither yielded to other callers nor looked at the deadline, so one upstream could hold up an entry for all.

An answer that must be complete may hold what is free of the memory for answers.

--- a/packages/comfreyarch-core/src/comfreyarch_core/sendtracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/sendtracker.py
@@ -28,7 +28,7 @@
     - ``replaced``: another upstream has the address now.
     - ``broken``: the connection broke or the answer was invalid.
     - ``silent``: the answer timed out.
-    - ``spoilt``: not in use.
+    - ``malformed``: the answer exceeded a bound.
     - ``failed``: the upstream ran the request and answered with an error.
     """
 
@@ -37,7 +37,7 @@
     replaced = 'replaced'
     broken = 'broken'
     silent = 'silent'
-    spoilt = 'spoilt'
+    malformed = 'malformed'
     failed = 'failed'
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
@@ -8,6 +8,8 @@
 
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
+from comfreyarch_core.answerbounds import AnswerMeter
+
 # Lower status codes are interim responses.
 MIN_FINAL_STATUS = 200
 
@@ -56,6 +58,7 @@
     :param answers: answers that have started and were not removed yet,
         oldest first.
     :param parse_error: why no further bytes can be parsed, empty if they can.
+    :param exceeded: the bound that the received bytes exceed, empty if none.
     :param keeps_alive: whether the peer keeps the connection open after the
         last complete answer.
     """
@@ -70,6 +73,9 @@
         self.header_value = ''
         self.in_value = False
         self.keeps_alive = False
+        self.exceeded = ''
+        self.meter = AnswerMeter()
+        self.body_received = 0
 
     def parse(self, received: bytes) -> None:
         """Parse received bytes; empty bytes mean the end of the connection."""
@@ -79,6 +85,15 @@
             self.feed(received)
         except HTTPParseError as error:
             self.parse_error = str(error)
+        body, self.body_received = self.body_received, 0
+        has_head = bool(self.answers) and self.answers[-1].has_head
+        self.exceeded = self.meter.record(len(received), body, has_head)
+        if self.exceeded:
+            self.parse_error = f'more {self.exceeded} bytes than allowed'
+
+    def buffered(self) -> int:
+        """Return the bytes of bodies that were received and not taken."""
+        return sum(len(answer.body) for answer in self.answers)
 
     def _on_message_begin(self) -> None:
         self.answers.append(Answer())
@@ -117,6 +132,7 @@
 
     def _on_body(self, received: bytearray) -> None:
         self.answers[-1].body += received
+        self.body_received += len(received)
 
     def _on_message_complete(self) -> None:
         answer = self.answers[-1]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Generator
 
+from comfreyarch_core.answerbounds import MAX_EVENT_BYTES
 from comfreyarch_core.eventsplitter import EventSplitter
 from comfreyarch_core.refusals import Kind
 from comfreyarch_core.routetable import Route, RouteKind
@@ -30,6 +31,7 @@
     RetryRefused,
 )
 from comfreyarch_daemon.upstreamcalls import (
+    AnswerMalformed,
     AnswerTimeout,
     CallError,
     Connection,
@@ -408,6 +410,7 @@
         )
         self.forwarder.metrics.count('stray_answers')
         while not answer.complete:
+            answer.take()
             exchange.connection.read(self.call.deadline - boot_time())
         exchange.connection.finish()
 
@@ -500,6 +503,7 @@
                 )
             if answer.complete:
                 break
+            check_event_size(splitter, exchange.upstream)
             self.read_more(exchange)
         if splitter.incomplete and not answer.is_framed:
             raise ExchangeBroken(
@@ -555,6 +559,8 @@
             stop=stop_reason,
         )
         self.forwarder.metrics.count('sends_failed', ending=failure.value)
+        if isinstance(error, AnswerMalformed):
+            self.forwarder.metrics.count('answers_malformed', bound=error.bound)
         if stop_reason:
             self.end_without_resend(stop_reason)
 
@@ -632,6 +638,15 @@
     """Report that the upstream ran the request and answered with an error."""
 
 
+def check_event_size(splitter: EventSplitter, upstream: str) -> None:
+    """Check the size of the event that a stream has begun.
+
+    :raises AnswerMalformed: if it exceeds the bound.
+    """
+    if len(splitter.incomplete) > MAX_EVENT_BYTES:
+        raise AnswerMalformed(upstream, 'event')
+
+
 def classify_failure(error: CallError) -> SendFailure:
     """Classify a failed send.
 
@@ -646,6 +661,8 @@
             return SendFailure.unreachable
         case AnswerTimeout():
             return SendFailure.silent
+        case AnswerMalformed():
+            return SendFailure.malformed
         case ErrorAnswer():
             return SendFailure.failed
     return SendFailure.broken
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
@@ -7,8 +7,10 @@
 import time
 from collections import deque
 
+import gevent
 from gevent import socket
 
+from comfreyarch_core.answerbounds import AnswerMemory, make_answer_memory
 from comfreyarch_daemon.answerparser import Answer, AnswerParser
 from comfreyarch_daemon.settings import split_address
 
@@ -24,6 +26,8 @@
 # at once.
 MIN_TIMEOUT_S = 0.001
 READ_BYTES = 65536
+# Bytes of an answer that are read before other greenlets run.
+MAX_UNYIELDED_BYTES = 262_144
 # Idle time after which a connection is not used again, if the upstream does
 # not state how long it keeps one.
 DEFAULT_KEEP_ALIVE_S = 4.0
@@ -54,6 +58,20 @@
     """Report that nothing was received within the time allowed."""
 
 
+class AnswerMalformed(CallError):
+    """Report that an answer exceeds a bound.
+
+    :param bound: name of the bound.
+    """
+
+    def __init__(self, address: str, bound: str) -> None:
+        """Name the upstream and the bound."""
+        super().__init__(
+            f'the answer of {address} exceeds the bound on {bound} bytes'
+        )
+        self.bound = bound
+
+
 class ExchangeBroken(CallError):
     """Report that the connection broke or the answer is invalid."""
 
@@ -63,6 +81,8 @@
 
     :param answer_count: complete answers received over it so far.
     :param keep_alive_s: idle time after which it is not used again.
+    :param memory: memory that the answers of all connections share.
+    :param unyielded_bytes: bytes read since other greenlets could run.
     """
 
     __slots__ = (
@@ -70,13 +90,22 @@
         'answer_count',
         'idle_since',
         'keep_alive_s',
+        'memory',
         'parser',
         'sock',
+        'unyielded_bytes',
     )
 
-    def __init__(self, address: str) -> None:
-        """Prepare a connection to an address without opening it."""
+    def __init__(
+        self, address: str, memory: AnswerMemory | None = None
+    ) -> None:
+        """Prepare a connection to an address without opening it.
+
+        :param memory: None for a connection that shares no memory.
+        """
         self.address = address
+        self.memory = memory or make_answer_memory()
+        self.unyielded_bytes = 0
         self.sock: socket.socket = socket.socket()
         self.parser = AnswerParser('')
         self.answer_count = 0
@@ -100,6 +129,7 @@
 
     def close(self) -> None:
         """Close the connection and abort a request in flight on it."""
+        self.memory.release(id(self))
         self.sock.close()
 
     def send(self, request: bytes, method: str, timeout_s: float) -> None:
@@ -120,14 +150,15 @@
         """Wait for more bytes and parse them.
 
         :raises AnswerTimeout: if none arrive in time.
+        :raises AnswerMalformed: if the bytes received before exceed a bound.
         :raises ExchangeBroken: if the connection broke or ended within an
             answer, or the bytes received before are no HTTP response.
         """
         parser = self.parser
-        if parser.parse_error:
-            raise ExchangeBroken(
-                f'invalid HTTP response from {self.address}:'
-                f' {parser.parse_error}',
+        self.check_answer()
+        if timeout_s <= 0:
+            raise AnswerTimeout(
+                f'no complete answer from {self.address} by the deadline'
             )
         self.sock.settimeout(max(timeout_s, MIN_TIMEOUT_S))
         try:
@@ -140,6 +171,7 @@
             raise ExchangeBroken(
                 f'cannot read from {self.address}: {error}',
             ) from error
+        self.yield_to_others(len(received))
         parser.parse(received)
         if not received and not (parser.answers and parser.answers[0].complete):
             raise ExchangeBroken(
@@ -147,6 +179,33 @@
                 f' the answer',
             )
 
+    def check_answer(self) -> None:
+        """Check the bytes received before.
+
+        :raises AnswerMalformed: if the answer exceeds a bound.
+        :raises ExchangeBroken: if the bytes are no HTTP response.
+        """
+        parser = self.parser
+        if parser.exceeded:
+            raise AnswerMalformed(self.address, parser.exceeded)
+        if parser.parse_error:
+            raise ExchangeBroken(
+                f'invalid HTTP response from {self.address}:'
+                f' {parser.parse_error}',
+            )
+        if not self.memory.update(id(self), parser.buffered()):
+            raise AnswerMalformed(self.address, 'memory')
+
+    def yield_to_others(self, received: int) -> None:
+        """Let other greenlets run from time to time while bytes arrive.
+
+        A read does not wait, and so does not yield, while there are bytes.
+        """
+        self.unyielded_bytes += received
+        if self.unyielded_bytes > MAX_UNYIELDED_BYTES:
+            self.unyielded_bytes = 0
+            gevent.sleep(0)
+
     def next_head(self, deadline: float) -> Answer:
         """Wait for the status and headers of the next answer.
 
@@ -160,6 +219,7 @@
     def finish(self) -> None:
         """Remove the oldest answer, which was read completely."""
         self.parser.answers.popleft()
+        self.memory.release(id(self))
         self.answer_count += 1
 
     def is_reusable(self) -> bool:
@@ -205,14 +265,16 @@
     """Keep idle connections to upstreams; the newest is used first.
 
     :param idle: idle connections by upstream, oldest first.
+    :param memory: memory that the answers of all connections share.
     :param opened: number of connections opened so far.
     """
 
-    __slots__ = ('idle', 'opened')
+    __slots__ = ('idle', 'memory', 'opened')
 
     def __init__(self) -> None:
         """Create an empty pool."""
         self.idle: dict[str, deque[Connection]] = {}
+        self.memory = make_answer_memory()
         self.opened = 0
 
     def take(self, name: str) -> Connection | None:
@@ -235,7 +297,7 @@
 
         :raises Unreachable: if that fails or times out.
         """
-        connection = Connection(address)
+        connection = Connection(address, self.memory)
         self.opened += 1
         connection.start(timeout_s)
         return connection
