Fill the free places of large groups with replicas of hot experts

So single passes, which few requests share, deviate from the mean demand. Plans left 88 of 288 places of a set empty.

Replicas of the hottest experts in the free places even out such deviations. Groups below 32 ranks are not filled: there the copies cost more than they gain.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
@@ -21,6 +21,10 @@
 # the number of ranks: a copy occupies one rank, a lower peak shortens the steps
 # of all.
 MIN_GAIN_PER_COPY = 1.2
+# Number of ranks from which free places of a changed set are filled: the slowest
+# of many ranks is mostly slow by chance, which replicas even out. In a smaller
+# group the copies cost more than they gain.
+MIN_RANKS_TO_FILL = 32
 # Maximum number of changes to one set in one map, for each rank.
 MAX_CHANGES_PER_RANK = 2
 
@@ -103,9 +107,32 @@
             copies = new_copies
         if peak < BALANCED_SKEW:
             break
+    if after < before and ranks >= MIN_RANKS_TO_FILL:
+        best = fill_set(held, best, loads, limits, slowness)
     return best, before, after
 
 
+def fill_set(
+    held: Sequence[Sequence[int]],
+    planned: Sequence[Sequence[int]],
+    loads: Sequence[float],
+    limits: MapLimits,
+    slowness: Sequence[float],
+) -> list[list[int]]:
+    """Replicate the hottest experts of a planned set in its free places.
+
+    :param held: experts by rank before the change.
+    :param planned: experts by rank as planned.
+    :returns: experts by rank.
+    """
+    planner = make_set_planner(
+        planned, loads, slowness, SetLimits(limits.capacity, limits.max_new)
+    )
+    planner.original = [frozenset(experts) for experts in held]
+    planner.fill_places()
+    return [sorted(experts) for experts in planner.held]
+
+
 def is_within_copy_limit(
     before: Sequence[Sequence[int]],
     after: Sequence[Sequence[int]],
--- a/packages/comfreyarch-core/src/comfreyarch_core/setplanner.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/setplanner.py
@@ -102,6 +102,41 @@
                 return True
         return False
 
+    def fill_places(self) -> None:
+        """Replicate the hottest experts in all places that are left.
+
+        A step runs the tokens of few requests, so its load on an expert differs
+        from the mean. Replicas share such a difference, too.
+        """
+        heap = [
+            (-self.share(expert), expert) for expert in range(len(self.loads))
+        ]
+        heapq.heapify(heap)
+        while heap:
+            _, expert = heapq.heappop(heap)
+            rank = self.find_free_rank(expert)
+            if rank is None:
+                continue
+            change = {rank: (-1, expert)}
+            if self.times_after(change)[rank] > self.peak():
+                continue
+            self.apply(change)
+            heapq.heappush(heap, (-self.share(expert), expert))
+
+    def find_free_rank(self, expert: int) -> int | None:
+        """Find the least loaded rank with a free place for an expert.
+
+        :returns: None if there is none.
+        """
+        ranks = [
+            rank
+            for rank, experts in enumerate(self.held)
+            if len(experts) < self.limits.capacity
+            and expert not in experts
+            and self.can_take(rank, expert)
+        ]
+        return min(ranks, key=self.times.__getitem__, default=None)
+
     def find_best(
         self, candidates: Iterator[Change], source: int
     ) -> Change | None:
