Plan large groups for their last counts; count repeats in the soak

After a change a leader waited for new counts of all ranks, 1.3 s at 96 ranks, and then planned for the sum of two reports of up to 2.6 s. Demand does not depend on the map, so a large group goes on with the last counts of each rank. Small groups are as before.

The soak's servers record requests that they reject, and the check excess_repeats applies the retry budget to arrivals in each window.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
@@ -39,6 +39,20 @@
     engine_addresses: dict[int, str] = field(default_factory=dict)
     last_seen_at: dict[int, float] = field(default_factory=dict)
 
+    @property
+    def counts_needed(self) -> int:
+        """Return the number of counts of each rank that a plan needs."""
+        return min(COUNTS_PER_RANK, math.ceil(MIN_COUNTS_PER_PLAN / self.size))
+
+    def end_change(self) -> None:
+        """Drop the counts that led to a change of the map.
+
+        The demand does not depend on the map. A large group, which needs only
+        the last counts, goes on with them and so follows the next shift sooner.
+        """
+        if self.counts_needed > 1:
+            self.recent_counts.clear()
+
     def handle_counts(self, counts: ExpertCounts) -> None:
         """Record a rank's counts."""
         kept = self.recent_counts.setdefault(counts.rank, [])
@@ -86,13 +100,11 @@
             return None
         experts = self.experts_per_set
         total = [0] * (sets * experts)
-        needed = min(
-            COUNTS_PER_RANK, math.ceil(MIN_COUNTS_PER_PLAN / self.size)
-        )
+        needed = self.counts_needed
         for kept in self.recent_counts.values():
             if len(kept) < needed:
                 return None
-            for counts in kept:
+            for counts in kept[-needed:]:
                 total = list(map(operator.add, total, counts.counts))
         if sum(total) < MIN_CHOICES_PER_SET * sets:
             return None
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -243,7 +243,7 @@
 
     def finish_change(self, version: int | None, why: str) -> None:
         """Log the end of a change and drop counts of the previous map."""
-        self.reports.recent_counts.clear()
+        self.reports.end_change()
         planned = self.planned
         self.metrics.count('map_changes', outcome=why.replace(' ', '_'))
         self.log.write(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,6 +7,7 @@
 
 import json
 import re
+from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -38,6 +39,10 @@
 GRACE_PERIOD_S = 8.0
 # Number of requests in a run that may exceed their route's attempts.
 TOLERATED_EXCESS = 3
+# Bounds of the retry budget of each service, which all entries share.
+RETRY_WINDOW_S = 10
+RETRY_RATIO = 0.2
+RETRY_ALLOWANCE = 184
 MAX_ATTEMPTS = {'resumable': 3, 'safe': 3, 'once': 1}
 
 
@@ -133,6 +138,7 @@
         refused_but_ran,
         unrequested_runs,
         excess_attempts,
+        excess_repeats,
     )
     time_bound = (
         lost_in_planned_work,
@@ -263,6 +269,54 @@
     return exceeding if len(exceeding) > TOLERATED_EXCESS else []
 
 
+def excess_repeats(evidence: Evidence) -> list[str]:
+    """Find services that got more repeated requests than their budget.
+
+    Arrivals that a server rejected count, too. Requests are counted by their
+    first arrival, which leaves out those that never arrived.
+    """
+    arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for run in evidence.runs:
+        attempt = run.get('attempt') or run.get('rejected')
+        if attempt:
+            arrived = run.get('arrived', run['at'])
+            arrivals[run.get('service', '')].append((arrived, attempt))
+    violations = []
+    for service, arrived in arrivals.items():
+        firsts, repeats = split_repeats(sorted(arrived))
+        for number, end in enumerate(repeats):
+            start = end - RETRY_WINDOW_S
+            count = 1 + number - bisect_left(repeats, start)
+            requests = max(
+                bisect_right(firsts, end - shift)
+                - bisect_left(firsts, start - shift)
+                for shift in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+            )
+            if count > RETRY_RATIO * requests + RETRY_ALLOWANCE:
+                violations.append(
+                    f'{count} repeats to {service} in the window before {end}'
+                )
+                break
+    return violations
+
+
+def split_repeats(
+    arrivals: list[tuple[float, str]],
+) -> tuple[list[float], list[float]]:
+    """Split arrivals into the first of each attempt and the others.
+
+    :param arrivals: time and attempt, in order of time.
+    :returns: the times of both.
+    """
+    seen: set[str] = set()
+    firsts: list[float] = []
+    repeats: list[float] = []
+    for arrived, attempt in arrivals:
+        (repeats if attempt in seen else firsts).append(arrived)
+        seen.add(attempt)
+    return firsts, repeats
+
+
 def lost_in_planned_work(evidence: Evidence) -> list[str]:
     """Find requests that failed while only planned work was in progress.
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -134,7 +134,12 @@
 
     def write_event(self, facts: dict[str, Any]) -> None:
         """Write one event for the checks."""
-        line = {'server': self.name, 'at': time.time(), **facts}
+        line = {
+            'server': self.name,
+            'service': self.row['service'],
+            'at': time.time(),
+            **facts,
+        }
         os.write(self.runs_fd, f'{json.dumps(line)}\n'.encode())
 
     def serve(self, sock: socket.socket, _address: object) -> None:
@@ -323,6 +328,7 @@
         extra_headers: dict[str, str],
     ) -> None:
         """Answer a request that was not executed."""
+        self.write_event({'rejected': attempt})
         headers = {
             'X-Attempt-Id': attempt,
             'Content-Length': '0',
--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -24,6 +24,7 @@
     is_announcement_due,
 )
 from comfreyarch_daemon import mapleader, orderdelivery
+from comfreyarch_daemon.groupreports import GroupReports
 from comfreyarch_daemon.leadership import MapRules
 from comfreyarch_daemon.mapleader import (
     SWITCH_DELAY_S,
@@ -386,3 +387,31 @@
         gap_s = ANNOUNCE_INTERVAL_S * max(b - a for a, b in pairs)
         # Two announcements in a row may be lost.
         assert 3 * gap_s <= LEADER_TIMEOUT_S + 0.25 * rank
+
+
+def report_counts(reports, size, counts):
+    """Let all ranks of a group report the same counts."""
+    for rank in range(size):
+        experts = ((rank, rank + size),)
+        reports.handle_counts(ExpertCounts('g', rank, 1, 0, experts, counts))
+
+
+# Fails if a large group waits for new counts of all ranks after a change, or plans
+# for the demand of two reports, of which the first may be seconds old.
+def test_a_large_group_plans_for_the_last_counts_at_any_time():
+    reports = GroupReports(96, 192)
+    report_counts(reports, 96, (10,) * 192)
+    reports.end_change()
+    assert reports.sum_loads(1) == [[960] * 192]
+    report_counts(reports, 96, (20,) * 192)
+    assert reports.sum_loads(1) == [[1920] * 192]
+
+
+def test_a_small_group_plans_for_two_counts_since_the_last_change():
+    reports = GroupReports(8, 16)
+    report_counts(reports, 8, (100,) * 16)
+    assert reports.sum_loads(1) is None
+    report_counts(reports, 8, (100,) * 16)
+    assert reports.sum_loads(1) == [[1600] * 16]
+    reports.end_change()
+    assert reports.sum_loads(1) is None
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,6 +11,7 @@
 from soak.checks import (
     MAX_CONFIGURATION_DELAY_S,
     MAX_DRAIN_DELAY_S,
+    RETRY_ALLOWANCE,
     Evidence,
     check,
 )
@@ -172,6 +173,24 @@
     assert not check(evidence)
 
 
+# Fails if the soak does not count repeats that servers rejected.
+def test_repeats_beyond_the_budget():
+    arrivals = [
+        {
+            'service': 'x',
+            'server': 's',
+            'at': 100 + number / 100,
+            'rejected': 'a',
+        }
+        for number in range(2 + RETRY_ALLOWANCE)
+    ]
+    evidence = make_evidence(make_record(), [make_run(service='x'), *arrivals])
+    violations = [line for line in check(evidence) if 'excess_rep' in line]
+    assert len(violations) == 1
+    del evidence.runs[-2:]
+    assert not [line for line in check(evidence) if 'excess_rep' in line]
+
+
 def test_a_short_run_of_the_real_programs_is_clean(tmp_path):
     """Leave out time bounds: a slow machine may exceed them."""
     command = (sys.executable, '-m', 'soak', '--seed', SEED, '--no-timed')
