Log a retry that lost its place as refused, and the age of the entries counted

A retry whose reservation had lost its place while it waited was logged as sent and then refused without an event. Found by reading the diff; the test fails on the former order. retry_budget_used tells how old the count of entries is.

--- a/packages/comfreyarch-core/src/comfreyarch_core/retryshare.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/retryshare.py
@@ -41,14 +41,17 @@
     """Track the number of entries that share an allowance.
 
     :param seen_at: time at which each number was last seen.
+    :param recorded_at: time at which the entries were last counted.
     """
 
     window_s: float
     seen_at: dict[int, float] = field(default_factory=dict)
+    recorded_at: float = 0
 
     def record(self, entries: int, now: float) -> None:
         """Record the present number of entries."""
         self.seen_at[entries] = now
+        self.recorded_at = now
 
     def highest(self, now: float) -> int:
         """Return the highest number of entries within the window.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestretries.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestretries.py
@@ -1,5 +1,6 @@
 """Account the retries of one request to the retry budget of its service."""
 
+from comfreyarch_core.retryshare import RetryShare
 from comfreyarch_daemon.forwarding import Forwarder
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -40,16 +41,7 @@
         share = self.forwarder.retry_share(self.service)
         self.is_reserved = share.reserve(now)
         if not self.is_reserved:
-            self.forwarder.metrics.count('retries_refused')
-            self.forwarder.log.write(
-                'retry_budget_used',
-                service=self.service,
-                entries=share.entries,
-                requests=len(share.requests),
-                retries=len(share.retries),
-                reserved=share.reserved,
-                allowance=round(share.allowance(now), 1),
-            )
+            self.report_refusal(share, now)
         return self.is_reserved
 
     def record_send(self) -> None:
@@ -60,10 +52,26 @@
         if self.is_reserved:
             self.is_reserved = False
             share = self.forwarder.retry_share(self.service)
-            if not share.spend(boot_time()):
+            now = boot_time()
+            if not share.spend(now):
+                self.report_refusal(share, now)
                 raise RetryRefused(BUDGET_USED)
         self.sends_written += 1
 
+    def report_refusal(self, share: RetryShare, now: float) -> None:
+        """Log and count a retry that the budget has no room for."""
+        self.forwarder.metrics.count('retries_refused')
+        self.forwarder.log.write(
+            'retry_budget_used',
+            service=self.service,
+            entries=share.entries,
+            count_age_s=round(now - self.forwarder.entry_count.recorded_at, 1),
+            requests=len(share.requests),
+            retries=len(share.retries),
+            reserved=share.reserved,
+            allowance=round(share.allowance(now), 1),
+        )
+
     def cancel(self) -> None:
         """End the reservation, if there is one."""
         if self.is_reserved:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -226,6 +226,7 @@
             forwarder.dispatcher.release(view)
             raise
         self.exchange = Exchange(view, connection)
+        self.retries.record_send()
         now = boot_time()
         forwarder.log.write(
             'sent',
@@ -239,7 +240,6 @@
             waited_s=round(now - call.received_at, 3),
             left_s=round(call.deadline - now, 3),
         )
-        self.retries.record_send()
         request = self.encode_request(name)
         left_s = call.deadline - boot_time()
         connection.send(request, call.method, left_s)
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -18,6 +18,7 @@
 from comfreyarch_core.retryshare import (
     EntryCount,
     RetryLimits,
+    RetryShare,
     make_retry_share,
 )
 
@@ -269,3 +270,15 @@
             for name, facts in world.log.events
             if name == 'retry_budget_used'
         ] == [0]
+
+
+# Fails if a retry whose place was lost while it waited is logged as sent.
+def test_a_retry_that_lost_its_place_is_not_sent(monkeypatch):
+    monkeypatch.setattr(RetryShare, 'spend', lambda share, _: share.cancel())
+    with World(close_connection, close_connection) as world:
+        assert world.call('/safe/')[0] == 504
+        assert world.runs == 1
+        events = [name for name, _ in world.log.events]
+        assert events.count('sent') == 1
+        assert events.count('retry_budget_used') == 1
+        assert world.entry.forwarder.retry_share('s').reserved == 0
