Use one kind of limits and one function for planning maps

Found by reading the change again: SetLimits repeated MapLimits; MapPlanner held a loop's state only so that the leader could pause between sets, while plan_map, which the product no longer called, did the same loop for the tests. plan_map takes the pause as a function now and serves both. The planner of a set is given its original placement instead of having it replaced afterwards, and a share is computed in one place. No change of behaviour: plans are equal by the same tests.

Docstrings that opened with Hold, Take or Let are reworded.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
@@ -6,11 +6,11 @@
 handles messages in between.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 
 from comfreyarch_core.enginestate import GroupMap
-from comfreyarch_core.setplanner import SetLimits, make_set_planner
+from comfreyarch_core.setplanner import MapLimits, make_set_planner
 
 # Peak rank time over mean load below which a set gets no further changes.
 BALANCED_SKEW = 1.1
@@ -29,20 +29,6 @@
 MAX_CHANGES_PER_RANK = 2
 
 
-@dataclass(frozen=True, slots=True)
-class MapLimits:
-    """Hold the limits on a map.
-
-    :param experts: number of experts in a set.
-    :param capacity: maximum experts of a set on one rank.
-    :param max_new: maximum experts of a set that one map adds to a rank.
-    """
-
-    experts: int
-    capacity: int
-    max_new: int
-
-
 @dataclass(frozen=True, slots=True)
 class PlannedMap:
     """Hold a planned map and its predicted effect.
@@ -57,6 +43,10 @@
     after: float
 
 
+def do_nothing() -> None:
+    """Do nothing; the default for ``after_set``."""
+
+
 def first_map(sets: int, experts: int, ranks: int) -> GroupMap:
     """Assign experts to ranks round-robin, as a group does when it forms.
 
@@ -90,9 +80,7 @@
     best = [sorted(experts) for experts in held]
     if mean <= 0:
         return best, 1, 1
-    planner = make_set_planner(
-        held, loads, slowness, SetLimits(limits.capacity, limits.max_new)
-    )
+    planner = make_set_planner(held, loads, slowness, limits)
     before = planner.peak() / mean
     after = before
     copies = 0
@@ -125,10 +113,7 @@
     :param planned: experts by rank as planned.
     :returns: experts by rank.
     """
-    planner = make_set_planner(
-        planned, loads, slowness, SetLimits(limits.capacity, limits.max_new)
-    )
-    planner.original = [frozenset(experts) for experts in held]
+    planner = make_set_planner(planned, loads, slowness, limits, held)
     planner.fill_places()
     return [sorted(experts) for experts in planner.held]
 
@@ -149,85 +134,32 @@
     )
 
 
-@dataclass(slots=True)
-class MapPlanner:
-    """Plan a map set by set.
-
-    :param content: the map in use.
-    :param loads: how often each expert was recently chosen, by set.
-    :param slowness: factor by rank, 1 for a healthy rank.
-    :param planned: placement, peak over mean before and after, by set.
-    """
-
-    content: GroupMap
-    loads: Sequence[Sequence[float]]
-    limits: MapLimits
-    slowness: Sequence[float]
-    planned: list[tuple[list[list[int]], float, float]] = field(
-        default_factory=list
-    )
-
-    def plan_next_set(self) -> bool:
-        """Plan one more set.
-
-        :returns: False once all sets are planned.
-        """
-        number = len(self.planned)
-        if number == len(self.content):
-            return False
-        self.planned.append(
-            plan_set(
-                self.content[number],
-                self.loads[number],
-                self.limits,
-                self.slowness,
-            )
-        )
-        return True
-
-    def result(self) -> PlannedMap | None:
-        """Return the map planned so far, with all sets planned.
-
-        :returns: None if it gains too little.
-        """
-        before = sum(plan[1] for plan in self.planned) / len(self.planned)
-        after = sum(plan[2] for plan in self.planned) / len(self.planned)
-        if before - after < MIN_GAIN_SHARE * before:
-            return None
-        new_content = tuple(
-            tuple(tuple(held) for held in ranks) for ranks, _, _ in self.planned
-        )
-        return PlannedMap(new_content, before, after)
-
-
-def make_map_planner(
+def plan_map(
     content: GroupMap,
     loads: Sequence[Sequence[float]],
     limits: MapLimits,
     slowness: Sequence[float] = (),
-) -> MapPlanner:
-    """Create a planner.
+    after_set: Callable[[], None] = do_nothing,
+) -> PlannedMap | None:
+    """Plan the next map of a group.
 
     :param content: the map in use.
     :param loads: how often each expert was recently chosen, by set.
     :param slowness: factor by rank; empty if no rank is slow.
-    :returns: a planner that has planned no set.
-    """
-    slowness = slowness or [1.0] * len(content[0])
-    return MapPlanner(content, loads, limits, slowness)
-
-
-def plan_map(
-    content: GroupMap,
-    loads: Sequence[Sequence[float]],
-    limits: MapLimits,
-    slowness: Sequence[float] = (),
-) -> PlannedMap | None:
-    """Plan the next map of a group at once.
-
+    :param after_set: called after each set is planned, so that a leader can
+        handle messages in between.
     :returns: the plan, or None if it gains too little.
     """
-    planner = make_map_planner(content, loads, limits, slowness)
-    while planner.plan_next_set():
-        continue
-    return planner.result()
+    slowness = slowness or [1.0] * len(content[0])
+    planned = []
+    for placement, chosen in zip(content, loads, strict=True):
+        planned.append(plan_set(placement, chosen, limits, slowness))
+        after_set()
+    before = sum(plan[1] for plan in planned) / len(planned)
+    after = sum(plan[2] for plan in planned) / len(planned)
+    if before - after < MIN_GAIN_SHARE * before:
+        return None
+    new_content = tuple(
+        tuple(tuple(held) for held in ranks) for ranks, _, _ in planned
+    )
+    return PlannedMap(new_content, before, after)
--- a/packages/comfreyarch-core/src/comfreyarch_core/setplanner.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/setplanner.py
@@ -24,13 +24,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SetLimits:
-    """Hold the limits on the placement of one set.
+class MapLimits:
+    """Define the limits on a map.
 
-    :param capacity: maximum experts on one rank.
-    :param max_new: maximum experts added to one rank.
+    :param experts: number of experts in a set.
+    :param capacity: maximum experts of a set on one rank.
+    :param max_new: maximum experts of a set that one map adds to a rank.
     """
 
+    experts: int
     capacity: int
     max_new: int
 
@@ -50,14 +52,13 @@
     held: list[set[int]]
     loads: Sequence[float]
     slowness: Sequence[float]
-    limits: SetLimits
-    original: list[frozenset[int]] = field(default_factory=list)
+    limits: MapLimits
+    original: list[frozenset[int]]
     holders: list[set[int]] = field(default_factory=list)
     times: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Build the indexes over the placement."""
-        self.original = [frozenset(experts) for experts in self.held]
         self.holders = [set() for _ in self.loads]
         for rank, own in enumerate(self.held):
             for number in own:
@@ -237,9 +238,7 @@
             if not difference:
                 continue
             former = self.share(expert)
-            share = self.loads[expert] / (
-                len(self.holders[expert]) + difference
-            )
+            share = self.share_after(expert, difference)
             for rank in self.holders[expert]:
                 moved = (share - former) * self.slowness[rank]
                 after[rank] = after.get(rank, self.times[rank]) + moved
@@ -274,13 +273,20 @@
     held: Sequence[Sequence[int]],
     loads: Sequence[float],
     slowness: Sequence[float],
-    limits: SetLimits,
+    limits: MapLimits,
+    original: Sequence[Sequence[int]] = (),
 ) -> SetPlanner:
     """Create a planner of one set; the placement is copied.
 
     :param held: experts by rank.
+    :param original: experts by rank before the first change, if ``held`` is
+        the result of changes.
     :returns: a planner that has made no change.
     """
     return SetPlanner(
-        [set(experts) for experts in held], loads, slowness, limits
+        [set(experts) for experts in held],
+        loads,
+        slowness,
+        limits,
+        [frozenset(experts) for experts in original or held],
     )
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
@@ -4,7 +4,7 @@
 from typing import Protocol
 
 from comfreyarch_core.grouppressure import ServiceLimits
-from comfreyarch_core.mapplan import MapLimits
+from comfreyarch_core.setplanner import MapLimits
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -25,7 +25,7 @@
     Settled,
     Tick,
 )
-from comfreyarch_core.mapplan import PlannedMap, make_map_planner
+from comfreyarch_core.mapplan import PlannedMap, plan_map
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
@@ -357,10 +357,9 @@
             return
         states = self.control.states
         slowness = [states[rank].pace for rank in sorted(states)]
-        planner = make_map_planner(content, loads, self.limits, slowness)
-        while planner.plan_next_set():
-            gevent.sleep(PLAN_PAUSE_S)
-        planned = planner.result()
+        planned = plan_map(
+            content, loads, self.limits, slowness, pause_planning
+        )
         if planned is None or not self.is_still_leader():
             return
         self.planned = planned
@@ -413,5 +412,10 @@
         return False
 
 
+def pause_planning() -> None:
+    """Yield to the handlers of messages before the next set is planned."""
+    gevent.sleep(PLAN_PAUSE_S)
+
+
 def find_no_map(_state: EngineState, _experts: int) -> None:
     """Return None: no map is known locally."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
@@ -95,7 +95,7 @@
                 self.datagrams.send_encoded(encoded, address)
 
     def handle_relayed_order(self, message: list[Any], _address: str) -> None:
-        """Take the own order out of a relay group's, and forward the others."""
+        """Process the own order of a relay group, and forward the others."""
         *head, targets = message
         order, leader = decode_relayed_order(message)
         for target in targets[1:]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
@@ -197,7 +197,7 @@
             raise AnswerMalformed(self.address, 'memory')
 
     def yield_to_others(self, received: int) -> None:
-        """Let other greenlets run from time to time while bytes arrive.
+        """Yield to other greenlets from time to time while bytes arrive.
 
         A read does not wait, and so does not yield, while there are bytes.
         """
--- a/tests/test_group_progress.py
+++ b/tests/test_group_progress.py
@@ -110,7 +110,7 @@
         self.send_to_coordinator(len(self.coordinators) - 1, proposal)
 
     def apply_late_order(self, late: tuple[int, maps.EngineOrder]) -> None:
-        """Let an engine execute an order that it left unanswered."""
+        """Execute an order that an engine left unanswered."""
         number, order = late
         self.engines[number].order(encode_order(order))
 
--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -18,11 +18,12 @@
 from comfreyarch_core.enginestate import ArmMap, HoldStep, ReleaseStep
 from comfreyarch_core.grouppressure import ServiceLimits
 from comfreyarch_core.mapcontrolmessages import ChangeMap, Tick
-from comfreyarch_core.mapplan import MapLimits, first_map
+from comfreyarch_core.mapplan import first_map
 from comfreyarch_core.reportpacing import (
     compute_count_interval,
     is_announcement_due,
 )
+from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_daemon import mapleader, orderdelivery
 from comfreyarch_daemon.groupreports import GroupReports
 from comfreyarch_daemon.leadership import MapRules
@@ -168,7 +169,7 @@
         return execute
 
     def apply(self, rank, order):
-        """Let an engine execute an order, and its sidecar report the result."""
+        """Execute an order at an engine and report the result."""
         engine = self.group.engines[rank]
         before = engine.prepared
         accepted = self.group.apply_order(rank, order)
@@ -221,7 +222,7 @@
             self.heard_at.append(self.now)
 
     def run(self, seconds):
-        """Let time pass."""
+        """Run all events of the next seconds."""
         end = self.now + seconds
         while self.events and self.events[0][0] <= end:
             self.now, _, action = heapq.heappop(self.events)
@@ -407,7 +408,7 @@
 
 
 def report_counts(reports, size, counts):
-    """Let all ranks of a group report the same counts."""
+    """Report the same counts from all ranks of a group."""
     for rank in range(size):
         experts = ((rank, rank + size),)
         reports.handle_counts(ExpertCounts('g', rank, 1, 0, experts, counts))
--- a/tests/test_map_plan.py
+++ b/tests/test_map_plan.py
@@ -8,7 +8,8 @@
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits, make_pressure_monitor
 from comfreyarch_core.maporders import MAPS_PER_FENCE, first_map_version
-from comfreyarch_core.mapplan import MapLimits, is_within_copy_limit, plan_map
+from comfreyarch_core.mapplan import is_within_copy_limit, plan_map
+from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_core.storeposition import make_position
 
 RANKS, EXPERTS, CAPACITY = 8, 64, 11
--- a/tests/test_one_slow_rank.py
+++ b/tests/test_one_slow_rank.py
@@ -11,8 +11,9 @@
     quantize_pass,
 )
 from comfreyarch_core.enginestate import EngineState
-from comfreyarch_core.mapplan import MapLimits, plan_map
+from comfreyarch_core.mapplan import plan_map
 from comfreyarch_core.routetable import EngineProfile
+from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.upstreamselection import (
     HEALTH_TTL_S,
--- a/tests/test_rank_node.py
+++ b/tests/test_rank_node.py
@@ -7,7 +7,7 @@
 
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits
-from comfreyarch_core.mapplan import MapLimits
+from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_core.storeposition import make_position
 from comfreyarch_daemon import maprules, ranknode
 from comfreyarch_daemon.leadership import LeaderRow, MapRules
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -82,7 +82,7 @@
             action()
 
     def send_requests(self):
-        """Let a caller send a request to some entry."""
+        """Send a caller's request to some entry."""
         self.schedule(
             self.random.expovariate(REQUESTS_PER_S), self.send_requests
         )
@@ -146,7 +146,7 @@
             self.entries[index] = Entry(self.now, self.disabled_rules)
 
     def count_entries(self):
-        """Let entries count one another."""
+        """Update the number of entries that each entry knows."""
         self.schedule(1, self.count_entries)
         alive = sum(entry.alive for entry in self.entries)
         for entry in self.entries:
--- a/tests/test_set_planner.py
+++ b/tests/test_set_planner.py
@@ -6,12 +6,12 @@
 import pytest
 
 from comfreyarch_core.mapplan import (
-    MapLimits,
     fill_set,
     first_map,
     is_within_copy_limit,
     plan_set,
 )
+from comfreyarch_core.setplanner import MapLimits
 
 # Ranks, experts, places and new experts of a rank and set; bound on the peak
 # over the mean.
