Check the retry budget in one place for the soak and the search

Both applied the users' rule with a copy of their own. The tests and their bounds are the same; the soak's message gives the excess instead of the count.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -7,12 +7,12 @@
 
 import json
 import re
-from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
+from comfreyarch_core.retryshare import RetryLimits
 from soak.callers import RETRYABLE_STATUSES, AttemptRecord
 from soak.faultinjection import (
     Fault,
@@ -20,6 +20,7 @@
     affects_entry,
     ends_or_suspends,
 )
+from soak.retrybudget import find_worst_window
 from soak.wire import SIGNATURE_HEADER, answer_body, event
 
 OK_STATUS = 200
@@ -40,9 +41,7 @@
 # Number of requests in a run that may exceed their route's attempts.
 TOLERATED_EXCESS = 3
 # Bounds of the retry budget of each service, which all entries share.
-RETRY_WINDOW_S = 10
-RETRY_RATIO = 0.2
-RETRY_ALLOWANCE = 184
+RETRY_LIMITS = RetryLimits(ratio=0.2, allowance=184, window_s=10)
 MAX_ATTEMPTS = {'resumable': 3, 'safe': 3, 'once': 1}
 
 
@@ -284,19 +283,12 @@
     violations = []
     for service, arrived in arrivals.items():
         firsts, repeats = split_repeats(sorted(arrived))
-        for number, end in enumerate(repeats):
-            start = end - RETRY_WINDOW_S
-            count = 1 + number - bisect_left(repeats, start)
-            requests = max(
-                bisect_right(firsts, end - shift)
-                - bisect_left(firsts, start - shift)
-                for shift in (0, RETRY_WINDOW_S / 2, RETRY_WINDOW_S)
+        excess, end = find_worst_window(firsts, repeats, RETRY_LIMITS)
+        if excess > 0:
+            violations.append(
+                f'{excess:.0f} repeats too many to {service} in the window '
+                f'before {end}'
             )
-            if count > RETRY_RATIO * requests + RETRY_ALLOWANCE:
-                violations.append(
-                    f'{count} repeats to {service} in the window before {end}'
-                )
-                break
     return violations
 
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -5,7 +5,6 @@
 The budget is checked as the users word it, from the arrivals at the upstreams.
 """
 
-import bisect
 import heapq
 import math
 import random
@@ -21,6 +20,7 @@
     RetryShare,
     make_retry_share,
 )
+from soak.retrybudget import find_worst_window
 
 LIMITS = RetryLimits(ratio=0.2, allowance=180, window_s=10)
 ENTRIES = 8
@@ -158,23 +158,7 @@
 
     def excess(self):
         """Return by how many retries the worst window exceeds the budget."""
-        worst = -LIMITS.allowance
-        for index, end in enumerate(self.arrivals):
-            start = end - LIMITS.window_s
-            retries = 1 + index - bisect.bisect_left(self.arrivals, start)
-            requests = max(
-                self.count_requests(start - shift, end - shift)
-                for shift in (0, LIMITS.window_s / 2, LIMITS.window_s)
-            )
-            allowed = LIMITS.ratio * requests + LIMITS.allowance
-            worst = max(worst, retries - allowed)
-        return worst
-
-    def count_requests(self, start, end):
-        """Count the requests that callers sent within a time."""
-        return bisect.bisect_right(self.requests, end) - bisect.bisect_left(
-            self.requests, start
-        )
+        return find_worst_window(self.requests, self.arrivals, LIMITS)[0]
 
 
 def find_excesses(seeds, disabled_rules=frozenset()):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from soak.checks import (
     MAX_CONFIGURATION_DELAY_S,
     MAX_DRAIN_DELAY_S,
-    RETRY_ALLOWANCE,
+    RETRY_LIMITS,
     Evidence,
     check,
 )
@@ -182,7 +182,7 @@
             'at': 100 + number / 100,
             'rejected': 'a',
         }
-        for number in range(2 + RETRY_ALLOWANCE)
+        for number in range(2 + RETRY_LIMITS.allowance)
     ]
     evidence = make_evidence(make_record(), [make_run(service='x'), *arrivals])
     violations = [line for line in check(evidence) if 'excess_rep' in line]
