--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/groupreports.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from comfreyarch_core.enginestate import EngineState, GroupMap
-from comfreyarch_daemon.rankdatagrams import ExpertCounts
+from comfreyarch_daemon.sidecarmessages import ExpertCounts
 
 # Number of recent counts of each rank that a plan is based on. Those of a large
 # group are based on fewer, as long as there are enough in all.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leadership.py
@@ -1,11 +1,20 @@
-"""Define a rank group's leader row, its store, and the rules for its maps."""
+"""Define a rank group's leader row, its view by sidecars, and its map rules."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
+from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits
 from comfreyarch_core.setplanner import MapLimits
 
+# Time without an announcement after which another rank claims leadership.
+LEADER_TIMEOUT_S = 0.55
+# Extra wait per rank number, so that the lowest rank claims first.
+CLAIM_DELAY_PER_RANK_S = 0.25
+# Maximum delay after which an engine may still execute an order. A process
+# younger than this cannot know what its predecessor has ordered.
+MAX_ORDER_DELAY_S = 15.0
+
 
 @dataclass(frozen=True, slots=True)
 class Term:
@@ -78,3 +87,54 @@
 
     limits: MapLimits
     service_limits: ServiceLimits
+
+
+@dataclass(slots=True)
+class LeaderView:
+    """Represent a sidecar's view of its group's leader.
+
+    :param process_started_at: start time of this process.
+    :param leader_seen_at: time of the last message from a leader, or of this
+        rank's last attempt to become the leader.
+    :param fence: the highest fence seen.
+    :param address: datagram address of the leader's sidecar.
+    :param contacted_fences: fences of leaders to which this rank has sent its
+        state unasked.
+    :param earliest_claim_at: time before which this rank does not try to lead.
+    :param announcements: number of announcements sent in this rank's term.
+    :param last_sent: the state sent last, with the step and the request counts
+        set to 0.
+    :param last_sent_at: time at which it was sent.
+    """
+
+    process_started_at: float
+    leader_seen_at: float
+    fence: int = 0
+    address: str = ''
+    contacted_fences: set[int] = field(default_factory=set)
+    earliest_claim_at: float = 0
+    announcements: int = 0
+    last_sent: EngineState | None = None
+    last_sent_at: float = 0
+
+    def is_recently_started(self, now: float) -> bool:
+        """Check whether orders of this process's predecessor may still arrive.
+
+        :returns: True during the maximum delay of an order after the start.
+        """
+        return now - self.process_started_at < MAX_ORDER_DELAY_S
+
+    def is_claim_due(self, rank: int, now: float) -> bool:
+        """Check whether a rank should claim leadership.
+
+        :returns: False while a leader's messages arrive, and during the delay
+            that lets lower ranks claim first.
+        """
+        if now < self.earliest_claim_at:
+            return False
+        silent_s = now - self.leader_seen_at
+        return silent_s > LEADER_TIMEOUT_S + CLAIM_DELAY_PER_RANK_S * rank
+
+    def delay_claim(self, now: float) -> None:
+        """Wait with the next claim until this rank's late orders expired."""
+        self.earliest_claim_at = now + MAX_ORDER_DELAY_S
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -33,10 +33,7 @@
 from comfreyarch_daemon.leadership import LeaderRow, Leadership, MapRules
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.orderdelivery import OrderDelivery, OrderSender
-from comfreyarch_daemon.rankdatagrams import (
-    ExpertCounts,
-    StateReport,
-)
+from comfreyarch_daemon.sidecarmessages import ExpertCounts, StateReport
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
@@ -9,14 +9,13 @@
 from comfreyarch_core.reportpacing import is_announcement_due
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.rankdatagrams import (
-    LeaderAnnouncement,
-    RankOrder,
     decode_relayed_order,
     encode_announcement,
     encode_order,
     encode_relayed_order,
     encode_target,
 )
+from comfreyarch_daemon.sidecarmessages import LeaderAnnouncement, RankOrder
 
 
 class OrderChannel:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderdelivery.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderdelivery.py
@@ -17,7 +17,7 @@
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.groupreports import RANK_TIMEOUT_S, GroupReports
-from comfreyarch_daemon.rankdatagrams import READINGS_PER_S, RankOrder
+from comfreyarch_daemon.sidecarmessages import READINGS_PER_S, RankOrder
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Usual maximum time from a sidecar's reading to its arrival at the leader.
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerlookup.py
@@ -0,0 +1,122 @@
+"""Register a sidecar, and look up the others of its group."""
+
+from collections.abc import Callable
+
+import gevent
+
+from comfreyarch_core.enginestate import EngineState
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.loadgossip import PeerDirectory
+from comfreyarch_daemon.tablesource import StoreCallFailed
+
+# Interval of lookups in the table of sidecars, and of retries while the store
+# is unavailable.
+PEER_LOOKUP_INTERVAL_S = 3.0
+# Maximum number of successful lookups. They end early once the addresses of all
+# ranks are known.
+MAX_PEER_LOOKUPS = 2
+# Interval at which a sidecar writes its row again: the store may have lost it, and
+# rows of a few minutes of age count as those of stopped nodes.
+REGISTER_INTERVAL_S = 60.0
+# Interval at which a starting sidecar checks for the engine's first state.
+ENGINE_CHECK_INTERVAL_S = 0.5
+
+
+class PeerLookup:
+    """Keep a sidecar's row in the table of sidecars and find its peers.
+
+    :param own_address: datagram address of this sidecar.
+    :param addresses: datagram addresses of the group's sidecars, by rank;
+        shared with the owner.
+    :param read_state: returns the last state of the local engine, None before
+        the first.
+    """
+
+    __slots__ = ('addresses', 'directory', 'log', 'own_address', 'read_state')
+
+    def __init__(
+        self,
+        directory: PeerDirectory,
+        own_address: str,
+        addresses: dict[int, str],
+        read_state: Callable[[], EngineState | None],
+        log: EventLog,
+    ) -> None:
+        """Create the lookup; nothing is read before ``run``."""
+        self.directory = directory
+        self.own_address = own_address
+        self.addresses = addresses
+        self.read_state = read_state
+        self.log = log
+
+    def run(self) -> None:
+        """Register this sidecar, and look up the others of its group.
+
+        The sidecars of a group start at the same time, so the others are looked
+        up after a delay. The registration is repeated periodically.
+        """
+        own_state = self.wait_for_engine()
+        self.retry_until_available(self.register, own_state)
+        for _ in range(MAX_PEER_LOOKUPS):
+            gevent.sleep(PEER_LOOKUP_INTERVAL_S)
+            if len(self.addresses) == own_state.size:
+                break
+            self.retry_until_available(self.look_up_addresses, own_state)
+        self.log.write('peers_listed', peers=len(self.addresses))
+        while True:
+            gevent.sleep(REGISTER_INTERVAL_S)
+            self.retry_until_available(self.register, self.wait_for_engine())
+
+    def register(self, own_state: EngineState) -> None:
+        """Write this sidecar's address to the table of sidecars.
+
+        :raises StoreCallFailed: if the table cannot be written.
+        """
+        self.directory.join(make_row_name(own_state), self.own_address)
+
+    def wait_for_engine(self) -> EngineState:
+        """Wait until the engine reports its group.
+
+        :returns: the engine's state.
+        """
+        state = self.read_state()
+        while state is None:
+            gevent.sleep(ENGINE_CHECK_INTERVAL_S)
+            state = self.read_state()
+        return state
+
+    def retry_until_available(
+        self,
+        call: Callable[[EngineState], None],
+        own_state: EngineState,
+    ) -> None:
+        """Call a function on the table of sidecars until the store answers."""
+        while True:
+            try:
+                call(own_state)
+            except StoreCallFailed as error:
+                self.log.write('peers_unknown', why=str(error))
+                gevent.sleep(PEER_LOOKUP_INTERVAL_S)
+            else:
+                return
+
+    def look_up_addresses(self, own_state: EngineState) -> None:
+        """Look up the addresses of the group's other sidecars.
+
+        An address learned from a datagram is not replaced.
+
+        :raises StoreCallFailed: if the table cannot be read.
+        """
+        members = self.directory.members()
+        for rank in range(own_state.size):
+            address = members.get(f'{own_state.group}/{rank}')
+            if address is not None:
+                self.addresses.setdefault(rank, address)
+
+
+def make_row_name(state: EngineState) -> str:
+    """Return the name of a sidecar's row, made of its group and rank.
+
+    :returns: the row's name.
+    """
+    return f'{state.group}/{state.rank}'
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
@@ -18,7 +18,7 @@
 )
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
-from comfreyarch_daemon.rankdatagrams import ExpertCounts, RankOrder
+from comfreyarch_daemon.sidecarmessages import ExpertCounts, RankOrder
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval at which the state is read. Reads by the engine's own sidecar cost
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
@@ -1,7 +1,7 @@
 """Encode and decode the datagrams between the sidecars of a rank group."""
 
 import zlib
-from dataclasses import astuple, dataclass
+from dataclasses import astuple
 from typing import Any
 
 import cbor2
@@ -17,6 +17,12 @@
     PrepareMap,
     ReleaseStep,
 )
+from comfreyarch_daemon.sidecarmessages import (
+    ExpertCounts,
+    LeaderAnnouncement,
+    RankOrder,
+    StateReport,
+)
 
 STATE = 'state'
 COUNTS = 'counts8'
@@ -24,65 +30,10 @@
 RELAY = 'relay'
 LEAD = 'lead'
 COMPRESSION_LEVEL = 1
-# Readings are numbered by the time at which they were requested, in this unit:
-# a reading requested before an order may arrive after the one that shows the
-# effect of the order.
-READINGS_PER_S = 10_000
 # Counts are sent in units of a power of two, so that the highest fits a byte.
 MAX_SENT_COUNT = 255
 
 
-@dataclass(frozen=True, slots=True)
-class StateReport:
-    """Report the state of a rank's engine.
-
-    :param engine: address of the engine itself.
-    :param number: increases with each reading of the same engine.
-    """
-
-    engine: str
-    state: EngineState
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class ExpertCounts:
-    """Report how often a rank's requests chose each expert recently.
-
-    :param version: version of the map in use.
-    :param experts: the rank's experts under that map, by set.
-    :param counts: choices of each expert since the last report, set after set.
-    """
-
-    group: str
-    rank: int
-    epoch: int
-    version: int
-    experts: tuple[tuple[int, ...], ...]
-    counts: tuple[int, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class RankOrder:
-    """Request that a sidecar send its engine an order."""
-
-    group: str
-    fence: int
-    rank: int
-    epoch: int
-    sequence: int
-    order: EngineOrder
-
-
-@dataclass(frozen=True, slots=True)
-class LeaderAnnouncement:
-    """Announce the leader of a group."""
-
-    group: str
-    fence: int
-    node: str
-
-
 def encode_state(report: StateReport) -> list[Any]:
     """Encode a state report.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -4,8 +4,7 @@
 ``membership`` instead.
 """
 
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -16,25 +15,20 @@
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthreporter import HealthReporter
-from comfreyarch_daemon.leadership import LeaderRow, Term
+from comfreyarch_daemon.leadership import LeaderRow, LeaderView, Term
 from comfreyarch_daemon.mapleader import MapLeader
 from comfreyarch_daemon.maprules import MapRulesReader
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.monitoringpages import MetricsPage, make_page_server
-from comfreyarch_daemon.nodeprocess import NodeControls, run_node
 from comfreyarch_daemon.orderchannel import OrderChannel
+from comfreyarch_daemon.peerlookup import PeerLookup
 from comfreyarch_daemon.rankagent import RankAgent
 from comfreyarch_daemon.rankdatagrams import (
     COUNTS,
     LEAD,
     ORDER,
-    READINGS_PER_S,
     RELAY,
     STATE,
-    ExpertCounts,
-    LeaderAnnouncement,
-    RankOrder,
-    StateReport,
     decode_announcement,
     decode_counts,
     decode_order,
@@ -45,73 +39,26 @@
 from comfreyarch_daemon.ranksettings import RankAdapter
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.settingsfile import SettingsFileWatcher
+from comfreyarch_daemon.sidecarmessages import (
+    READINGS_PER_S,
+    ExpertCounts,
+    LeaderAnnouncement,
+    RankOrder,
+    StateReport,
+)
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval at which a leader announces itself.
 ANNOUNCE_INTERVAL_S = 0.15
-# Time without an announcement after which another rank claims leadership.
-LEADER_TIMEOUT_S = 0.55
-# Extra wait per rank number, so that the lowest rank claims first.
-CLAIM_DELAY_PER_RANK_S = 0.25
-# Maximum delay after which an engine may still execute an order. A process
-# younger than this cannot know what its predecessor has ordered.
-MAX_ORDER_DELAY_S = 15.0
 # Number of lowest ranks that receive states besides the leader, because one of
 # them leads next.
 LEADER_CANDIDATES = 2
-# Interval of lookups in the table of sidecars, and of retries while the store
-# is unavailable.
-PEER_LOOKUP_INTERVAL_S = 3.0
-# Maximum number of successful lookups. They end early once the addresses of all
-# ranks are known.
-MAX_PEER_LOOKUPS = 2
-# Interval at which a sidecar writes its row again: the store may have lost it, and
-# rows of a few minutes of age count as those of stopped nodes.
-REGISTER_INTERVAL_S = 60.0
-# Interval at which a starting sidecar checks for the engine's first state.
-ENGINE_CHECK_INTERVAL_S = 0.5
 # Interval at which a state is resent if nothing else than its step or request
 # counts changed.
 STATE_RESEND_INTERVAL_S = 0.3
 
 
-@dataclass(slots=True)
-class LeaderView:
-    """Hold a sidecar's view of its group's leader.
-
-    :param process_started_at: start time of this process.
-    :param leader_seen_at: time of the last message from a leader, or of this
-        rank's last attempt to become the leader.
-    :param fence: the highest fence seen.
-    :param address: datagram address of the leader's sidecar.
-    :param contacted_fences: fences of leaders to which this rank has sent its
-        state unasked.
-    :param earliest_claim_at: time before which this rank does not try to lead.
-    :param announcements: number of announcements sent in this rank's term.
-    :param last_sent: the state sent last, with the step and the request counts
-        set to 0.
-    :param last_sent_at: time at which it was sent.
-    """
-
-    process_started_at: float
-    leader_seen_at: float
-    fence: int = 0
-    address: str = ''
-    contacted_fences: set[int] = field(default_factory=set)
-    earliest_claim_at: float = 0
-    announcements: int = 0
-    last_sent: EngineState | None = None
-    last_sent_at: float = 0
-
-    def is_recently_started(self, now: float) -> bool:
-        """Check whether orders of this process's predecessor may still arrive.
-
-        :returns: True during the maximum delay of an order after the start.
-        """
-        return now - self.process_started_at < MAX_ORDER_DELAY_S
-
-
 class RankNode:
     """Run the sidecar of a rank.
 
@@ -135,7 +82,7 @@
         'metrics_server',
         'orders',
         'path',
-        'peer_directory',
+        'peer_lookup',
         'peer_states',
         'rules',
         'settings',
@@ -174,11 +121,17 @@
             self.log,
             self.metrics,
         )
+        self.peer_lookup = PeerLookup(
+            adapter.open_peers(settings),
+            settings.peers,
+            self.addresses,
+            lambda: self.agent.state,
+            self.log,
+        )
         self.metrics_server = make_page_server(
             settings.metrics, MetricsPage(self.metrics)
         )
         self.leadership = adapter.open_leadership(settings)
-        self.peer_directory = adapter.open_peers(settings)
         self.leader: MapLeader | None = None
         self.rules = MapRulesReader(
             lambda: adapter.read_map_rules(settings),
@@ -202,7 +155,7 @@
         self.settings_file.start()
         self.rules.start()
         self.workers = [
-            gevent.spawn(self.find_peers),
+            gevent.spawn(self.peer_lookup.run),
             gevent.spawn(self.run_leadership),
         ]
 
@@ -232,68 +185,6 @@
             return
         self.log.write('reload', changed=settings != self.settings)
 
-    def find_peers(self) -> None:
-        """Register this sidecar, and look up the others of its group.
-
-        The sidecars of a group start at the same time, so the others are looked
-        up after a delay. The registration is repeated periodically.
-        """
-        own_state = self.wait_for_engine()
-        self.retry_until_available(self.register, own_state)
-        for _ in range(MAX_PEER_LOOKUPS):
-            gevent.sleep(PEER_LOOKUP_INTERVAL_S)
-            if len(self.addresses) == own_state.size:
-                break
-            self.retry_until_available(self.look_up_addresses, own_state)
-        self.log.write('peers_listed', peers=len(self.addresses))
-        while True:
-            gevent.sleep(REGISTER_INTERVAL_S)
-            self.retry_until_available(self.register, self.wait_for_engine())
-
-    def register(self, own_state: EngineState) -> None:
-        """Write this sidecar's address to the table of sidecars.
-
-        :raises StoreCallFailed: if the table cannot be written.
-        """
-        self.peer_directory.join(make_row_name(own_state), self.settings.peers)
-
-    def wait_for_engine(self) -> EngineState:
-        """Wait until the engine reports its group.
-
-        :returns: the engine's state.
-        """
-        while self.agent.state is None:
-            gevent.sleep(ENGINE_CHECK_INTERVAL_S)
-        return self.agent.state
-
-    def retry_until_available(
-        self,
-        call: Callable[[EngineState], None],
-        own_state: EngineState,
-    ) -> None:
-        """Call a function on the table of sidecars until the store answers."""
-        while True:
-            try:
-                call(own_state)
-            except StoreCallFailed as error:
-                self.log.write('peers_unknown', why=str(error))
-                gevent.sleep(PEER_LOOKUP_INTERVAL_S)
-            else:
-                return
-
-    def look_up_addresses(self, own_state: EngineState) -> None:
-        """Look up the addresses of the group's other sidecars.
-
-        An address learned from a datagram is not replaced.
-
-        :raises StoreCallFailed: if the table cannot be read.
-        """
-        members = self.peer_directory.members()
-        for rank in range(own_state.size):
-            address = members.get(f'{own_state.group}/{rank}')
-            if address is not None:
-                self.addresses.setdefault(rank, address)
-
     def publish_state(
         self,
         state: EngineState,
@@ -409,7 +300,7 @@
         if self.leader is not None and fence > self.leader.fence:
             self.leader.close()
             self.leader = None
-            self.leader_view.earliest_claim_at = boot_time() + MAX_ORDER_DELAY_S
+            self.leader_view.delay_claim(boot_time())
 
     def run_leadership(self) -> None:
         """Announce this sidecar's term, or claim leadership after a timeout."""
@@ -423,31 +314,16 @@
             elif (
                 own_state is not None
                 and own_state.size > 1
-                and self.is_claim_due(own_state)
+                and self.leader_view.is_claim_due(own_state.rank, boot_time())
             ):
                 self.claim_leadership(own_state)
 
-    def is_claim_due(self, own_state: EngineState) -> bool:
-        """Check whether this rank should claim leadership.
-
-        :returns: False while a leader's messages arrive, and during the delay
-            that lets lower ranks claim first.
-        """
-        now = boot_time()
-        if now < self.leader_view.earliest_claim_at:
-            return False
-        silent_s = now - self.leader_view.leader_seen_at
-        return (
-            silent_s
-            > LEADER_TIMEOUT_S + CLAIM_DELAY_PER_RANK_S * own_state.rank
-        )
-
     def resign(self, leader: MapLeader) -> None:
         """Stop leading, so that another rank can complete the recovery."""
         self.log.write('resigned', group=leader.group, fence=leader.fence)
         leader.close()
         self.leader = None
-        self.leader_view.earliest_claim_at = boot_time() + MAX_ORDER_DELAY_S
+        self.leader_view.delay_claim(boot_time())
 
     def contact_unseen_leader(
         self, former: LeaderRow, own_state: EngineState
@@ -543,21 +419,3 @@
     )
     node.orders.announce(announcement, node.leader_view.announcements)
     node.leader_view.announcements += 1
-
-
-def make_row_name(state: EngineState) -> str:
-    """Return the name of a sidecar's row, made of its group and rank.
-
-    :returns: the row's name.
-    """
-    return f'{state.group}/{state.rank}'
-
-
-def run_sidecar(adapter: RankAdapter, path: Path) -> None:
-    """Run a rank's sidecar until a signal stops it."""
-
-    def build() -> NodeControls:
-        node = RankNode(adapter, path)
-        return NodeControls(node.start, node.close, node.reload, node.stopped)
-
-    run_node(build)
--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -26,7 +26,7 @@
 from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_daemon import mapleader, orderdelivery
 from comfreyarch_daemon.groupreports import GroupReports
-from comfreyarch_daemon.leadership import MapRules
+from comfreyarch_daemon.leadership import LEADER_TIMEOUT_S, MapRules
 from comfreyarch_daemon.mapleader import (
     SWITCH_DELAY_S,
     SWITCH_DELAY_UNANSWERED_S,
@@ -37,17 +37,19 @@
 from comfreyarch_daemon.rankagent import UNANSWERED_WINDOW_S
 from comfreyarch_daemon.rankdatagrams import (
     ORDER,
+    decode_counts,
+    decode_order,
+    encode_counts,
+    encode_state,
+)
+from comfreyarch_daemon.ranknode import ANNOUNCE_INTERVAL_S
+from comfreyarch_daemon.sidecarmessages import (
     READINGS_PER_S,
     ExpertCounts,
     LeaderAnnouncement,
     RankOrder,
     StateReport,
-    decode_counts,
-    decode_order,
-    encode_counts,
-    encode_state,
 )
-from comfreyarch_daemon.ranknode import ANNOUNCE_INTERVAL_S, LEADER_TIMEOUT_S
 from standins.rankgroup import Group
 
 LINK_BYTES_PER_S = 375_000.0
