--- a/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coordinator.py
@@ -52,7 +52,10 @@
     Reply,
     Unprepared,
 )
-from comfreyarch_core.maprecovery import find_newest_map, resolve_outcome
+from comfreyarch_core.maprecovery import (
+    decide_open_changes,
+    find_newest_map,
+)
 
 
 @dataclass(slots=True)
@@ -206,17 +209,9 @@
             return self.start_epoch(states, now)
         self.epoch = states[0].epoch
         self.map_id, self.placement = self.select_map(states)
-        open_changes = sorted(
-            {state.open_change for state in states if state.open_change}
+        self.pending_decisions = decide_open_changes(
+            states, self.outcomes, self.fence
         )
-        self.pending_decisions = [
-            Decide(
-                self.fence,
-                change,
-                resolve_outcome(change, states, self.outcomes),
-            )
-            for change in open_changes
-        ]
         return self.send_next_decision(now)
 
     def select_map(self, states: list[RankState]) -> tuple[str, Placement]:
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -41,6 +41,11 @@
     PrepareMap,
     ReleaseStep,
 )
+from comfreyarch_core.groupstate import (
+    agree_on_map,
+    are_at_rest,
+    find_unprepared,
+)
 from comfreyarch_core.mapcontrolmessages import (
     DEPOSED,
     NOT_HELD,
@@ -167,17 +172,9 @@
 
         :returns: False if a change must not start.
         """
-        states = list(self.states.values())
-        if len(states) != self.size:
+        if len(self.states) != self.size:
             return False
-        first = states[0]
-        agree = all(
-            state.is_open
-            and state.epoch == first.epoch
-            and state.version == first.version
-            for state in states
-        )
-        return agree and self.is_at_rest()
+        return agree_on_map(self.states) and self.is_at_rest()
 
     def start_change(self, change: ChangeMap, now: float) -> list[Outcome]:
         """Start a change unless one is in progress or must not start."""
@@ -282,7 +279,7 @@
 
     def prepare_ranks(self, now: float) -> list[Outcome]:
         """Order all ranks to copy the experts that the target map needs."""
-        waiting = self.find_unprepared(self.version)
+        waiting = self.find_unprepared()
         if not waiting:
             return self.enter_phase(Phase.holding, now)
         if (
@@ -310,38 +307,13 @@
             )
         ]
 
-    def is_switching(self) -> bool:
-        """Check that no step is held and all ranks have the same armed switch.
-
-        :returns: True from a release until its step begins, and also if no
-            rank is armed.
-        """
-        armed = {state.armed for state in self.states.values()}
-        held = any(state.held is not None for state in self.states.values())
-        return len(armed) == 1 and not held
-
     def is_at_rest(self) -> bool:
-        """Check that no rank is armed and no rank holds a step.
-
-        :returns: False if a change must not proceed.
-        """
-        return all(
-            state.armed is None and state.held is None
-            for state in self.states.values()
-        )
-
-    def find_unprepared(self, version: int) -> list[int]:
-        """List the ranks that have not prepared a map version.
+        """Check that no rank is armed and no rank holds a step."""
+        return are_at_rest(self.states)
 
-        :returns: ranks, including those of unknown state or another epoch.
-        """
-        return [
-            rank
-            for rank in range(self.size)
-            if rank not in self.states
-            or self.states[rank].prepared != version
-            or self.states[rank].epoch != self.epoch
-        ]
+    def find_unprepared(self) -> list[int]:
+        """List the ranks that have not prepared the target map."""
+        return find_unprepared(self.states, self.size, self.version, self.epoch)
 
     def hold_step(self, now: float) -> list[Outcome]:
         """Hold a step ahead of the last one begun."""
@@ -401,7 +373,7 @@
             self.content = self.target
             self.abort_reason = ''
             return self.enter_phase(Phase.releasing, now)
-        if self.is_arming_late(now) or self.find_unprepared(self.version):
+        if self.is_arming_late(now) or self.find_unprepared():
             return self.start_abort('not armed', now)
         order = ArmMap(self.version, self.step)
         return [
@@ -448,7 +420,7 @@
         """Disarm all ranks and prepare a map that invalidates late orders."""
         if not self.is_step_held():
             return self.restart_hold(now)
-        waiting = self.find_unprepared(self.version)
+        waiting = self.find_unprepared()
         if not waiting or self.can_skip(waiting):
             return self.enter_phase(Phase.releasing, now)
         self.witnesses.difference_update(
--- a/packages/comfreyarch-core/src/comfreyarch_core/maprecovery.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maprecovery.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Sequence
 
-from comfreyarch_core.mapmessages import ABORT, COMMIT, Placement, RankState
+from comfreyarch_core.mapmessages import (
+    ABORT,
+    COMMIT,
+    Decide,
+    Placement,
+    RankState,
+)
 
 
 def resolve_outcome(
@@ -23,6 +29,26 @@
     return decided.get(change, ABORT)
 
 
+def decide_open_changes(
+    states: Sequence[RankState],
+    decided: dict[str, str],
+    fence: int,
+) -> list[Decide]:
+    """Decide all changes whose outcome some rank lacks.
+
+    :param decided: outcomes decided by this coordinator, by change.
+    :param fence: the coordinator's fence.
+    :returns: a decision for each open change, in the order of their names.
+    """
+    changes = sorted(
+        {state.open_change for state in states if state.open_change}
+    )
+    return [
+        Decide(fence, change, resolve_outcome(change, states, decided))
+        for change in changes
+    ]
+
+
 def find_newest_map(
     states: Sequence[RankState],
     decided: dict[str, str],
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -11,6 +11,7 @@
     GroupMap,
 )
 from comfreyarch_core.grouppressure import make_pressure_monitor
+from comfreyarch_core.groupstate import are_at_rest, are_switching
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
 from comfreyarch_core.mapcontrolmessages import (
     DEPOSED,
@@ -308,7 +309,8 @@
             and not self.is_engine_usable
         ):
             return True
-        if self.control.is_at_rest() or self.control.is_switching():
+        states = self.control.states
+        if are_at_rest(states) or are_switching(states):
             self.unsettled_since = 0
             return False
         now = boot_time()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
@@ -8,9 +8,9 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from comfreyarch_core.enginestate import EngineState, GroupMap, PrepareMap
-from comfreyarch_core.mapplan import first_map
+from comfreyarch_core.enginestate import EngineState, PrepareMap
 from comfreyarch_core.reportpacing import compute_count_interval
+from comfreyarch_core.savedmaps import SavedMaps
 from comfreyarch_daemon.engineapi import (
     EngineApi,
     EngineUnavailable,
@@ -31,8 +31,6 @@
 UNANSWERED_WINDOW_S = 3.0
 # Maximum number of orders queued while the engine does not answer.
 MAX_PENDING_ORDERS = 4
-# Number of maps to save: the map in use is among the last few prepared.
-MAX_SAVED_MAPS = 6
 
 
 class StateListener(Protocol):
@@ -62,8 +60,7 @@
     :param held_experts: the rank's experts under the map in use.
     :param counts: expert counts at the last reading, since the engine's start.
     :param count_interval_s: interval between two readings of counts.
-    :param saved_maps: the last maps that leaders ordered this rank to prepare,
-        by version.
+    :param saved_maps: the last maps that leaders ordered this rank to prepare.
     :param copying: version of the last map that the engine started to prepare.
     :param pending_orders: number of orders that are queued or in progress.
     :param unanswered: times of recent orders without an answer.
@@ -114,7 +111,7 @@
         self.counts: tuple[int, ...] = ()
         self.count_interval_s = COUNT_INTERVAL_S
         self.fence = 0
-        self.saved_maps: dict[int, GroupMap] = {}
+        self.saved_maps = SavedMaps()
         self.copying: int | None = None
         self.lock = BoundedSemaphore(1)
         self.pending_orders = 0
@@ -174,6 +171,7 @@
             )
             self.counts = ()
             self.held_experts = None
+            self.saved_maps.sets = 0
         self.update_state(state, read_started_at, urgent=False)
 
     def update_state(
@@ -225,6 +223,7 @@
             or self.held_experts.version != state.version
         ):
             self.held_experts = self.read_connection.held()
+            self.saved_maps.sets = len(self.held_experts.experts)
         chosen = self.read_connection.chosen()
         previous, self.counts = self.counts, chosen.counts
         if len(previous) != len(chosen.counts):
@@ -258,30 +257,10 @@
             return
         self.fence = order.fence
         if isinstance(order.order, PrepareMap):
-            self.save_map(order.order)
+            self.saved_maps.save(order.order)
         self.pending_orders += 1
         gevent.spawn(self.execute_order, order)
 
-    def save_map(self, order: PrepareMap) -> None:
-        """Save a map for a next leader that cannot reach all ranks."""
-        self.saved_maps[order.version] = order.content
-        while len(self.saved_maps) > MAX_SAVED_MAPS:
-            self.saved_maps.pop(min(self.saved_maps))
-
-    def find_current_map(
-        self, state: EngineState, experts: int
-    ) -> GroupMap | None:
-        """Return the map in use if this rank knows its whole content.
-
-        :param experts: number of experts in a set.
-        :returns: None if the map was prepared before this process started.
-        """
-        if state.version == 0 and self.held_experts is not None:
-            return first_map(
-                len(self.held_experts.experts), experts, state.size
-            )
-        return self.saved_maps.get(state.version)
-
     def execute_order(self, order: RankOrder) -> None:
         """Execute one order after the orders queued before it.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -399,7 +399,7 @@
             self.log,
             self.metrics,
         )
-        self.leader.find_known_map = self.agent.find_current_map
+        self.leader.find_known_map = self.agent.saved_maps.find_current
         self.leader.set_former_leader(former, self.addresses)
         for report in self.peer_states.values():
             if (
