Log the shared parts of a prompt, and the age of an answer, of a failed send

The logs of the incident could not tell whether evidence was keyed wrongly or came late: they named neither the parts of the prompts nor whether an answer had begun when its connection broke. The adapter decodes the parts, all but the last, which belongs to the request alone; number and length are bounded.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
@@ -26,6 +26,8 @@
     :param answer_tokens: upper limit of the tokens of the answer, 0 if not
         stated.
     :param forwarded: headers to forward to the upstream unchanged.
+    :param shared_parts: ids of the parts of the prompt that other requests
+        may have too, in order; empty if not stated.
     """
 
     attempt: str
@@ -35,6 +37,7 @@
     prompt_tokens: int
     answer_tokens: int
     forwarded: Headers
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -89,12 +89,17 @@
 
 
 class Exchange:
-    """Represent one send of a request to one upstream, and its answer."""
+    """Represent one send of a request to one upstream, and its answer.
 
-    __slots__ = ('answer', 'connection', 'head', 'view')
+    :param answering_since: time of the first event, None before and for
+        answers that are no streams.
+    """
+
+    __slots__ = ('answer', 'answering_since', 'connection', 'head', 'view')
 
     def __init__(self, view: UpstreamView, connection: Connection) -> None:
         """Start without an answer."""
+        self.answering_since: float | None = None
         self.view = view
         self.connection = connection
         self.answer: Answer | None = None
@@ -492,6 +497,8 @@
         while True:
             events = splitter.feed(answer.take())
             if events:
+                if exchange.answering_since is None:
+                    exchange.answering_since = boot_time()
                 if not self.has_started:
                     self.has_started = True
                     yield AnswerStart(answer.status, head.forwarded, None)
@@ -543,6 +550,7 @@
         name = self.last_upstream
         self.tracker.record_failure(name, failure)
         self.record_upstream_failure(name, failure, now)
+        answering_s = self.answering_s(now)
         self.abort_exchange()
         stop_reason = '' if self.tracker.may_send(now) else NO_MORE_SENDS
         if not stop_reason and not self.retries.reserve(now):
@@ -557,6 +565,8 @@
             rejected=self.tracker.rejected,
             again=not stop_reason,
             stop=stop_reason,
+            parts=self.call.head.shared_parts,
+            answering_s=answering_s,
         )
         self.forwarder.metrics.count('sends_failed', ending=failure.value)
         if isinstance(error, AnswerMalformed):
@@ -564,6 +574,16 @@
         if stop_reason:
             self.end_without_resend(stop_reason)
 
+    def answering_s(self, now: float) -> float | None:
+        """Return how long the upstream has been sending its answer.
+
+        :returns: seconds since the first event of a stream, None before.
+        """
+        exchange = self.exchange
+        if exchange is None or exchange.answering_since is None:
+            return None
+        return round(now - exchange.answering_since, 3)
+
     def record_upstream_failure(
         self,
         name: str,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -539,3 +539,22 @@
 def test_a_start_that_is_no_number_is_unknown(born):
     document = json.dumps({**SERVER, 'born': born}).encode()
     assert decode_upstream('i', document, 1).started_ms == 0
+
+
+@pytest.mark.parametrize(
+    ('prefix', 'parts'),
+    [
+        ('5c1e07a2:800,91bd3f06:410,e4402b7d:250', ('5c1e07a2', '91bd3f06')),
+        ('e4402b7d:250', ()),
+        ('', ()),
+        (' a : 1 , b:2 , c', ('a', 'b')),
+        (f'{"a" * 65}:1,b:2,c:3', ('b',)),
+        (','.join(f'{number:x}:1' for number in range(1000)), None),
+    ],
+)
+def test_the_shared_parts_of_a_prompt_are_all_but_the_last(prefix, parts):
+    head = PlatformHeaderCodec().read_call([('X-Prompt-Prefix', prefix)])
+    if parts is None:
+        assert len(head.shared_parts) == 32
+    else:
+        assert head.shared_parts == parts
