--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -1,194 +1,353 @@
-"""Bar a request that crashes the upstreams that run it.
-
-Entries send requests to upstreams without a sidecar in between, so nothing
-can run a suspect request in isolation. A request is barred once its
-connections have broken at several upstreams that then turned out to be dead.
-Any answer of an upstream to the same request clears it, so a request that
-only shared a crashing upstream with the culprit is not barred.
-"""
-
-from dataclasses import dataclass, field
-
-# An upstream that is gone within this time after a connection broke has
-# crashed. Its list entry expires after three missed heartbeats, which take
-# 3.6 s in the deployments served.
-EVIDENCE_S = 8.0
-# Number of crashed upstreams after which a request is barred.
-BARRING_CRASHES = 3
-# A bar, and the record of a suspect, expires this long after its last crash.
-SUSPECT_TTL_S = 600.0
-# Limits on the records kept; the oldest are dropped first.
-MAX_BREAKS = 2_000
-MAX_SUSPECTS = 1_000
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionBroken:
-    """Report that a connection broke while an upstream had a request."""
-
-    digest: str
-    upstream: str
-
-
-@dataclass(frozen=True, slots=True)
-class RequestAnswered:
-    """Report that an upstream answered a request."""
-
-    digest: str
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamDied:
-    """Report that an upstream refuses connections or is no longer listed."""
-
-    upstream: str
+"""Bar what the requests that crash upstreams have in common.
 
+A trait is what different requests may share: a part of the prompt, or the
+whole request, by its digest. A crash counts for the traits of all requests that
+the upstream had not begun to answer, an answer against the traits of its
+request. A trait is barred at a net count of ``BAR_SCORE``.
 
-@dataclass(frozen=True, slots=True)
-class PeerReport:
-    """Report the upstreams that a request crashed according to another entry.
+This is a sequential test of two hypotheses: a run with the trait ends in a
+crash with a probability of at most 0.1, or of at least 0.9. Each crash or
+answer changes the odds by a factor of 9, so a trait of the first kind is barred
+with a probability of at most 9 ** -3, which is 0.14 %.
 
-    :param upstreams: empty if an upstream answered the request, which clears
-        it.
-    """
-
-    digest: str
-    upstreams: frozenset[str]
-
-
-@dataclass(frozen=True, slots=True)
-class NotifyPeers:
-    """Request that the other entries are notified of a change.
-
-    :param upstreams: the upstreams that the request crashed.
-    :param barred: whether the request is no longer sent to any upstream.
-    """
-
-    digest: str
-    upstreams: frozenset[str]
-    barred: bool
-
-
-Message = ConnectionBroken | RequestAnswered | UpstreamDied | PeerReport
-
-
-@dataclass(slots=True)
-class CrashRecord:
-    """Upstreams that a request crashed.
+Sound requests lose their connections with a crashing one, so crashes that a
+barred trait explains no longer count for other traits.
+"""
 
-    :param updated_at: time at which the last upstream was added.
-    """
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
 
-    upstreams: set[str]
-    updated_at: float
+from comfreyarch_core.crashmessages import (
+    ConnectionBroken,
+    CrashObserved,
+    Lift,
+    Message,
+    Notice,
+    PeerAnswer,
+    PeerBar,
+    PeerCrash,
+    PeerMessage,
+    RequestAnswered,
+    SuspectAnswered,
+    TraitBarred,
+    TraitCleared,
+    UpstreamAlive,
+    UpstreamDied,
+)
+from comfreyarch_core.crashrecords import (
+    EVIDENCE_S,
+    Break,
+    Crash,
+    CrashRecords,
+    make_crash_records,
+)
+from comfreyarch_core.traitbars import (
+    BAR_S,
+    TraitBar,
+    is_probed,
+    make_trait_bar,
+    may_probe,
+)
+from comfreyarch_core.traitscores import TraitScores, make_trait_scores
+
+# Net number of crashes at which a trait is barred.
+BAR_SCORE = 3
+# Answers needed before parts are barred: they tell which parts are common.
+MIN_ANSWERS = 5
+# Share in the recent answers above which a part is not barred, since a bar would
+# refuse most sound requests.
+MAX_SHARE = 0.3
+# Net number up to which a bar of a peer is not taken over.
+SOUND_SCORE = -3
+# Limit on the traits of one crash.
+MAX_CRASH_TRAITS = 256
+# Limit on the bars kept; the oldest is dropped first.
+MAX_BARS = 200
+
+PART = 'part:'
+REQUEST = 'request:'
 
 
 @dataclass(slots=True)
 class CrashGuard:
-    """Track requests that crash upstreams, seen by one entry or by its peers.
+    """Attribute the crashes that all entries observe to traits.
 
-    :param breaks: request and upstream → time of the broken connection, until
-        the upstream proves dead or the time for evidence has passed.
-    :param suspects: requests that crashed upstreams, by digest.
+    :param lifted: time at which a bar was last lifted, by trait.
     """
 
-    breaks: dict[tuple[str, str], float] = field(default_factory=dict)
-    suspects: dict[str, CrashRecord] = field(default_factory=dict)
+    records: CrashRecords = field(default_factory=make_crash_records)
+    scores: TraitScores = field(default_factory=make_trait_scores)
+    bars: dict[str, TraitBar] = field(default_factory=dict)
+    lifted: dict[str, float] = field(default_factory=dict)
 
-    def handle(self, message: Message, now: float) -> list[NotifyPeers]:
+    def handle(self, message: Message, now: float) -> list[Notice]:
         """Process a message.
 
         :param now: monotonic time in seconds.
-        :returns: the changes to send to the other entries.
+        :returns: what to tell the other entries.
         """
-        self.expire(now)
         match message:
-            case ConnectionBroken(digest, upstream):
-                self.record_break(digest, upstream, now)
-            case RequestAnswered(digest):
-                return self.clear(digest)
+            case RequestAnswered(traits):
+                return self.record_answer(traits, now)
+            case ConnectionBroken(traits, upstream):
+                self.records.add_break(Break(traits, upstream, now))
             case UpstreamDied(upstream):
-                return self.record_crash(upstream, now)
-            case PeerReport(digest, upstreams):
-                self.merge(digest, upstreams, now)
+                return self.confirm_crash(upstream, now)
+            case UpstreamAlive(upstream):
+                self.records.take_breaks(upstream)
+            case Lift(trait):
+                return self.lift(trait, now)
+        return []
+
+    def expire(self, now: float) -> None:
+        """Drop old evidence; a bar ends by an answered probe or an order."""
+        for crash in self.records.expire(now):
+            if crash.explained:
+                continue
+            for trait in crash.traits:
+                self.scores.add(trait, -1)
+
+    def handle_peer(self, message: PeerMessage, now: float) -> list[Notice]:
+        """Process a message of another entry.
+
+        :param now: monotonic time in seconds.
+        :returns: what changed, and ``TraitCleared`` for a bar that the peer
+            has to lift.
+        """
+        match message:
+            case PeerCrash(upstream, traits, age_s):
+                self.record_crash(upstream, traits, now - age_s)
+                return self.judge(now)
+            case PeerAnswer(trait):
+                return self.count_answer(trait, now)
+            case PeerBar(trait, age_s, left_s):
+                return self.adopt_bar(
+                    trait, make_trait_bar(now - age_s, now + left_s)
+                )
+            case Lift(trait):
+                return self.lift(trait, now)
         return []
 
-    def is_suspect(self, digest: str) -> bool:
-        """Check whether a request has crashed an upstream.
+    @property
+    def is_idle(self) -> bool:
+        """Check that nothing is on record.
 
-        :returns: False for nearly all requests.
+        :returns: True nearly always; the digests of requests are not needed.
         """
-        return digest in self.suspects
+        records = self.records
+        return not (records.breaks or records.crashes or self.bars)
 
-    def barred(self, digest: str, now: float) -> bool:
-        """Check whether a request must not be sent.
+    def barred_trait(self, traits: Iterable[str], now: float) -> str:
+        """Find a trait due to which a request must not be sent.
 
-        :returns: True once it crashed ``BARRING_CRASHES`` upstreams.
+        :returns: the trait, empty if the request may be sent.
         """
-        record = self.suspects.get(digest)
-        if record is None or now - record.updated_at > SUSPECT_TTL_S:
-            return False
-        return len(record.upstreams) >= BARRING_CRASHES
-
-    def record_break(self, digest: str, upstream: str, now: float) -> None:
-        """Record a broken connection, evidence if the upstream proves dead."""
-        self.breaks[digest, upstream] = now
-        if len(self.breaks) > MAX_BREAKS:
-            self.breaks.pop(next(iter(self.breaks)))
-
-    def clear(self, digest: str) -> list[NotifyPeers]:
-        """Clear a request that was answered, here and at the peers."""
-        self.breaks = {
-            broken: at
-            for broken, at in self.breaks.items()
-            if broken[0] != digest
-        }
-        if self.suspects.pop(digest, None) is None:
+        return next(
+            (
+                trait
+                for trait in traits
+                if trait in self.bars and not may_probe(self.bars[trait], now)
+            ),
+            '',
+        )
+
+    def record_send(self, traits: Iterable[str], now: float) -> None:
+        """Record that a request is sent; with a barred trait it is a probe."""
+        for trait in traits:
+            trait_bar = self.bars.get(trait)
+            if trait_bar is not None:
+                trait_bar.probed_at = now
+
+    def record_answer(
+        self, traits: tuple[str, ...], now: float
+    ) -> list[Notice]:
+        """Count an answer against the traits of its request."""
+        counted = [
+            trait
+            for trait in traits
+            if trait.startswith(PART) or trait in self.scores.counts
+        ]
+        self.scores.record_answer(counted)
+        notices: list[Notice] = []
+        for trait in counted:
+            if self.scores.net(trait) > 0:
+                notices.append(SuspectAnswered(trait))
+            notices.extend(self.count_answer(trait, now))
+        return notices
+
+    def count_answer(self, trait: str, now: float) -> list[Notice]:
+        """Count an answer against a trait; it may lift a trait_bar."""
+        self.scores.add(trait, -1)
+        trait_bar = self.bars.get(trait)
+        if trait_bar is None:
             return []
-        return [NotifyPeers(digest, frozenset(), barred=False)]
+        is_refuted = self.scores.net(trait) <= 0
+        return (
+            self.lift(trait, now) if is_refuted or is_probed(trait_bar) else []
+        )
+
+    def confirm_crash(self, upstream: str, now: float) -> list[Notice]:
+        """Record a crash if connections to the dead upstream broke recently."""
+        lost = [
+            broken.traits
+            for broken in self.records.take_breaks(upstream)
+            if now - broken.at <= EVIDENCE_S
+        ]
+        for lost_traits in lost:
+            self.record_crash(upstream, lost_traits, now)
+        observed: list[Notice] = [
+            CrashObserved(upstream, traits) for traits in lost
+        ]
+        return [*observed, *self.judge(now)]
+
+    def record_crash(
+        self, upstream: str, traits: tuple[str, ...], at: float
+    ) -> None:
+        """Count a crash once for each trait, also if it is reported again."""
+        crash = self.records.find_crash(upstream, at)
+        self.expire(at)
+        for position, trait in enumerate(traits):
+            if trait in crash.traits or len(crash.traits) >= MAX_CRASH_TRAITS:
+                continue
+            crash.traits[trait] = position
+            if not crash.explained:
+                self.scores.add(trait, 1)
+        for trait in traits:
+            trait_bar = self.bars.get(trait)
+            if trait_bar is not None:
+                trait_bar.until = max(trait_bar.until, at + BAR_S)
+                self.explain([crash], trait)
+
+    def judge(self, now: float) -> list[Notice]:
+        """Bar the traits that reach the limit, the best explanation first."""
+        notices: list[Notice] = []
+        while trait := self.find_culprit():
+            crashes = self.records.with_trait(trait)
+            notices.append(TraitBarred(trait, len(crashes)))
+            notices.extend(
+                self.add_bar(trait, make_trait_bar(now, now + BAR_S))
+            )
+        return notices
+
+    def find_culprit(self) -> str:
+        """Find the trait that explains the crashes best.
+
+        :returns: of the traits that reach the limit, the one with the most net
+            crashes, then the most specific; empty if there is none.
+        """
+        position_by_trait = {
+            trait: position
+            for crash in self.records.crashes
+            if not crash.explained
+            for trait, position in crash.traits.items()
+            if self.is_culprit(trait)
+        }
+        return max(
+            position_by_trait,
+            key=lambda trait: (
+                self.scores.net(trait),
+                trait.startswith(REQUEST),
+                position_by_trait[trait],
+            ),
+            default='',
+        )
+
+    def is_culprit(self, trait: str) -> bool:
+        """Check whether a trait is to be barred."""
+        return (
+            self.scores.net(trait) >= BAR_SCORE
+            and trait not in self.bars
+            and self.may_bar(trait)
+        )
+
+    def may_bar(self, trait: str) -> bool:
+        """Check that a bar would not refuse most sound requests.
+
+        :returns: False for a common part, or if it is unknown which are common.
+        """
+        if trait.startswith(REQUEST):
+            return True
+        return (
+            self.scores.answers >= MIN_ANSWERS
+            and self.scores.share(trait) <= MAX_SHARE
+        )
+
+    def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
+        """Add a bar and attribute the crashes with the trait to it.
 
-    def record_crash(self, upstream: str, now: float) -> list[NotifyPeers]:
-        """Count a crash for the requests whose connections broke there."""
-        notices = []
-        for digest, broken_upstream in list(self.breaks):
-            if broken_upstream != upstream:
+        :returns: the notices of bars that it makes needless.
+        """
+        self.bars[trait] = trait_bar
+        self.scores.raise_to(trait, BAR_SCORE)
+        if len(self.bars) > MAX_BARS:
+            self.bars.pop(next(iter(self.bars)))
+        self.explain(self.records.crashes, trait)
+        return self.lift_weaker(trait, trait_bar.since)
+
+    def explain(self, crashes: list[Crash], culprit: str) -> None:
+        """Attribute those of the crashes that have a barred trait to it.
+
+        A trait with as many crashes as the barred one may be the cause too: one
+        more crash bars it. For all others these crashes no longer count.
+        """
+        limit = self.scores.net(culprit)
+        tied = set()
+        for crash in crashes:
+            if crash.explained or culprit not in crash.traits:
                 continue
-            self.breaks.pop((digest, broken_upstream))
-            self.merge(digest, frozenset((upstream,)), now)
-            crashed = frozenset(self.suspects[digest].upstreams)
-            barred = len(crashed) >= BARRING_CRASHES
-            notices.append(NotifyPeers(digest, crashed, barred=barred))
+            crash.explained = True
+            for trait in crash.traits.keys() - self.bars.keys():
+                if self.scores.net(trait) >= limit:
+                    tied.add(trait)
+                else:
+                    self.scores.add(trait, -1)
+        for trait in tied:
+            self.scores.lower_to(trait, BAR_SCORE - 1)
+
+    def lift_weaker(self, culprit: str, now: float) -> list[Notice]:
+        """Lift the bars whose crashes are all explained by a new one."""
+        notices: list[Notice] = []
+        for trait in self.bars.keys() - {culprit}:
+            with_trait = self.records.with_trait(trait)
+            if with_trait and all(
+                culprit in crash.traits for crash in with_trait
+            ):
+                notices.extend(self.lift(trait, now))
         return notices
 
-    def merge(self, digest: str, upstreams: frozenset[str], now: float) -> None:
-        """Add upstreams to a request's record; none clears the request."""
-        if not upstreams:
-            self.suspects.pop(digest, None)
-            return
-        record = self.suspects.get(digest)
-        if record is None:
-            record = CrashRecord(set(), now)
-            self.suspects[digest] = record
-        if upstreams - record.upstreams:
-            record.upstreams |= upstreams
-            record.updated_at = now
-        if len(self.suspects) > MAX_SUSPECTS:
-            self.suspects.pop(next(iter(self.suspects)))
+    def adopt_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
+        """Take over a bar of a peer, unless this entry knows better.
 
-    def expire(self, now: float) -> None:
-        """Drop breaks without evidence and suspects without new crashes."""
-        for broken, at in list(self.breaks.items()):
-            if now - at <= EVIDENCE_S:
-                break
-            self.breaks.pop(broken)
-        for digest, record in list(self.suspects.items()):
-            if now - record.updated_at > SUSPECT_TTL_S:
-                self.suspects.pop(digest)
+        :returns: the notice that clears it, if it was lifted since or the
+            trait is answered here.
+        """
+        known = self.bars.get(trait)
+        if known is not None:
+            known.until = max(known.until, trait_bar.until)
+            return []
+        is_lifted = self.lifted.get(trait, -math.inf) >= trait_bar.since
+        is_sound = self.scores.net(trait) <= SOUND_SCORE
+        is_common = self.scores.share(trait) > MAX_SHARE
+        if is_lifted or is_sound or is_common:
+            return [TraitCleared(trait)]
+        return self.add_bar(trait, trait_bar)
+
+    def lift(self, trait: str, now: float) -> list[Notice]:
+        """Lift a bar; only later crashes count for the trait again."""
+        if self.bars.pop(trait, None) is None:
+            return []
+        self.lifted.pop(trait, None)
+        self.lifted[trait] = now
+        if len(self.lifted) > MAX_BARS:
+            self.lifted.pop(next(iter(self.lifted)))
+        self.scores.lower_to(trait, 0)
+        return [TraitCleared(trait)]
 
 
 def make_crash_guard() -> CrashGuard:
     """Create the guard of an entry.
 
-    :returns: a guard without suspects.
+    :returns: a guard without evidence.
     """
     return CrashGuard()
--- a/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/refusals.py
@@ -60,7 +60,7 @@
     Kind.quarantined: (422, 'change the request: it crashes upstreams'),
     Kind.crashes_upstreams: (
         503,
-        'change the request: upstreams that ran it crashed',
+        'change the request: upstreams that ran similar ones crashed',
     ),
     Kind.not_ready: (503, 'come back once the node has a configuration'),
     Kind.retry_budget: (503, 'come back after the wait'),
--- a/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
@@ -26,6 +26,7 @@
     :param avoid: names of upstreams that the request was sent to before.
     :param pass_count: minimum number of engine passes, 0 if unknown.
     :param deadline: when the caller stops waiting for the complete answer.
+    :param traits: shared parts of the prompt, as traits of the crash guard.
     """
 
     service: str
@@ -35,6 +36,7 @@
     avoid: frozenset[str]
     pass_count: float = 0
     deadline: float = math.inf
+    traits: tuple[str, ...] = ()
 
     def max_pass_s(self, now: float) -> float:
         """Compute the longest pass time that still meets the deadline.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -39,6 +39,7 @@
 from comfreyarch_daemon.httplistener import open_listener
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.requestsender import forward_request
+from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -261,8 +262,12 @@
             received_at + left_s,
             table.min_passes(service, head.prompt_tokens, head.answer_tokens),
         )
-        if self.forwarder.crash_guard.is_barred(call.digest):
-            raise RefusedCall(not_run(Kind.crashes_upstreams, left_s))
+        try:
+            self.forwarder.crash_guard.check(call.traits)
+        except RequestBarred as error:
+            raise RefusedCall(
+                not_run(Kind.crashes_upstreams, left_s, str(error))
+            ) from error
         return call
 
     def check_can_finish(self, route: Route, head: CallHead) -> None:
@@ -425,6 +430,8 @@
             version=self.table.version if self.table else 0,
         )
         document = {'error': refusal.kind.value, 'remedy': refusal.remedy}
+        if refusal.kind == Kind.crashes_upstreams:
+            document['detail'] = refusal.detail
         body = json.dumps(document).encode()
         sent_headers = [
             *headers,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -42,7 +42,7 @@
 LEAVING = 'leaving'
 # Interval for expiring upstreams and trimming idle connections.
 TICK_INTERVAL_S = 0.5
-# Ticks between two hello messages, which also resend crash suspects.
+# Ticks between two hello messages; crash evidence is sent again as often.
 TICKS_PER_HELLO = int(HELLO_INTERVAL_S / TICK_INTERVAL_S)
 # Time within which the balancer in front stops routing to a leaving entry.
 BALANCER_REMOVAL_S = 2.3
@@ -147,7 +147,7 @@
         self.entry.forwarder.on_leaving = self.send_leaving
         self.datagrams.handlers[TABLE_REQUEST] = self.tables.handle_request
         self.datagrams.handlers[TABLE_PART] = self.tables.handle_part
-        self.entry.forwarder.crash_guard.share(
+        self.entry.forwarder.crash_guard.gossip.share(
             self.datagrams,
             self.load_gossip.peers.values,
         )
@@ -201,7 +201,7 @@
             ticks += 1
             if ticks % TICKS_PER_HELLO == 0:
                 self.send_hello()
-                self.entry.forwarder.crash_guard.resend_suspects()
+                self.entry.forwarder.crash_guard.tick()
             self.upstreams.tick()
             self.check_era()
             entries = self.load_gossip.count_entries()
@@ -234,6 +234,7 @@
                 pause = min(LONGEST_RETRY_S, pause * 2)
                 continue
             self.load_gossip.add_members(members)
+            self.entry.forwarder.crash_guard.gossip.request()
             self.sidecars |= set(sidecars.values())
             self.send_hello()
             self.log.write('peers_listed', peers=len(members))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -12,6 +12,7 @@
     UpstreamView,
 )
 from comfreyarch_core.waitqueue import Waiter, WaitQueue, make_wait_queue
+from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval between checks for slots that become free without an event of this
@@ -110,6 +111,7 @@
 
         :raises DispatchError: if none is assigned before the latest useful
             start.
+        :raises RequestBarred: if a trait of it is barred meanwhile.
         """
         result = AsyncResult()
         self.results[waiter] = result
@@ -120,7 +122,7 @@
             )
         except gevent.Timeout:
             view = None
-        except DispatchError:
+        except (DispatchError, RequestBarred):
             raise
         except BaseException:
             if result.ready():
@@ -192,6 +194,12 @@
                 self.results.pop(waiter)
                 result.set_exception(error)
 
+    def refuse_barred(self, trait: str) -> None:
+        """Refuse the waiting requests with a newly barred trait."""
+        for waiter in list(self.results):
+            if trait in waiter.traits:
+                self.results.pop(waiter).set_exception(RequestBarred(trait))
+
     def release(self, view: UpstreamView) -> None:
         """Release a slot and assign free slots to waiting requests."""
         view.in_flight -= 1
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -4,7 +4,9 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
+from comfreyarch_core.crashguard import PART, REQUEST
 from comfreyarch_core.refusals import Refusal
 from comfreyarch_core.retryshare import (
     EntryCount,
@@ -15,7 +17,12 @@
 from comfreyarch_core.routetable import Route
 from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.headercodec import CallHead, HeaderCodec, Headers
+from comfreyarch_daemon.headercodec import (
+    AnswerHead,
+    CallHead,
+    HeaderCodec,
+    Headers,
+)
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
 from comfreyarch_daemon.upstreamcalls import ConnectionPool, boot_time
@@ -23,6 +30,8 @@
 # Entries assumed to share the retry budget until they are counted.
 ASSUMED_ENTRIES = 32
 DIGEST_BYTES = 12
+MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 
 
 class ForwardingFailed(Exception):
@@ -62,6 +71,20 @@
     deadline: float
     pass_count: float = 0
 
+    def part_traits(self) -> tuple[str, ...]:
+        """Return the traits of the request that belong to its prompt.
+
+        :returns: the parts that other requests may share, in order.
+        """
+        return tuple(PART + part for part in self.head.shared_parts)
+
+    def traits(self) -> tuple[str, ...]:
+        """Return what crashes that this request causes may be attributed to.
+
+        :returns: the shared parts of the prompt, then the whole request.
+        """
+        return (*self.part_traits(), REQUEST + self.digest())
+
     def digest(self) -> str:
         """Compute a digest that is the same for every retry by a caller.
 
@@ -89,6 +112,13 @@
 AnswerPart = AnswerStart | bytes
 
 
+class Cancellable(Protocol):
+    """Represent a request under way that may be cancelled."""
+
+    def cancel_barred(self, trait: str) -> None:
+        """Cancel its send if a newly barred trait may crash the upstream."""
+
+
 class Forwarder:
     """Hold the state that all requests of a direct entry share.
 
@@ -96,8 +126,9 @@
     :param started_at: start of the entry.
     :param on_leaving: called with the name of an upstream whose answer
         announces that it leaves.
-    :param crash_guard: detects and bars requests that crash upstreams.
+    :param crash_guard: bars what crashes upstreams.
     :param retry_shares: retry budgets by service.
+    :param senders: the requests that wait or are sent now.
     """
 
     __slots__ = (
@@ -113,6 +144,7 @@
         'retry_limits',
         'retry_shares',
         'selector',
+        'senders',
         'started_at',
     )
 
@@ -132,13 +164,15 @@
         self.log = log
         self.metrics = metrics
         self.pool = ConnectionPool()
-        self.crash_guard = SharedCrashGuard(log)
+        self.crash_guard = SharedCrashGuard(log, metrics)
         self.retry_shares: dict[str, RetryShare] = {}
         self.started_at = boot_time()
         self.entry_count = EntryCount(retry_limits.window_s)
         self.entry_count.record(ASSUMED_ENTRIES, self.started_at)
         self.on_leaving: Callable[[str], None] = ignore
         self.random_source: random.Random = self.selector.source
+        self.senders: set[Cancellable] = set()
+        self.crash_guard.on_barred = self.handle_barred
 
     def retry_share(self, service: str) -> RetryShare:
         """Return this entry's share of a service's retry budget.
@@ -152,6 +186,18 @@
         share.entries = self.entry_count.highest(boot_time())
         return share
 
+    def record_announcements(
+        self, upstream: str, status: int, head: AnswerHead
+    ) -> None:
+        """Record what an upstream announces, also with another's answer."""
+        if status == MISDIRECTED_STATUS:
+            # Another upstream made the answer.
+            return
+        if head.leaving:
+            self.record_leaving(upstream)
+        if status == UNAVAILABLE_STATUS and head.retry_after_s:
+            self.record_hold(upstream, head.retry_after_s)
+
     def record_leaving(self, name: str, source: str = 'answer') -> None:
         """Record that an upstream announces that it leaves.
 
@@ -169,6 +215,12 @@
         self.log.write('upstream_hold', upstream=name, hold_s=hold_s)
         self.dispatcher.refuse_held()
 
+    def handle_barred(self, trait: str) -> None:
+        """Refuse and cancel the requests with a newly barred trait."""
+        self.dispatcher.refuse_barred(trait)
+        for sender in list(self.senders):
+            sender.cancel_barred(trait)
+
     def close(self) -> None:
         """Close the idle connections."""
         self.pool.close()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -3,7 +3,6 @@
 import math
 from collections.abc import Generator
 
-from comfreyarch_core.answerbounds import MAX_EVENT_BYTES
 from comfreyarch_core.eventsplitter import EventSplitter
 from comfreyarch_core.refusals import Kind
 from comfreyarch_core.routetable import Route, RouteKind
@@ -24,12 +23,21 @@
     Forwarder,
     ForwardingFailed,
 )
-from comfreyarch_daemon.headercodec import AnswerHead, SendContext
+from comfreyarch_daemon.headercodec import AnswerHead
+from comfreyarch_daemon.requestcrashes import RequestCrashes
+from comfreyarch_daemon.requestencoding import encode_request
 from comfreyarch_daemon.requestretries import (
     BUDGET_USED,
     RequestRetries,
     RetryRefused,
 )
+from comfreyarch_daemon.sendfailures import (
+    ErrorAnswer,
+    check_event_size,
+    check_head,
+    classify_failure,
+)
+from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.upstreamcalls import (
     AnswerMalformed,
     AnswerTimeout,
@@ -42,8 +50,6 @@
 
 OK_STATUS = 200
 MIN_ERROR_STATUS = 500
-MISDIRECTED_STATUS = 421
-UNAVAILABLE_STATUS = 503
 # A connection within the fleet opens within a few milliseconds; one that
 # takes a second has lost a packet.
 CONNECT_TIMEOUT_S = 0.5
@@ -82,24 +88,21 @@
     """
     forwarder.retry_share(call.service).record_request(boot_time())
     sender = RequestSender(forwarder, call)
+    forwarder.senders.add(sender)
     try:
         yield from sender.run()
     finally:
+        forwarder.senders.discard(sender)
         sender.close()
 
 
 class Exchange:
-    """Represent one send of a request to one upstream, and its answer.
-
-    :param answering_since: time of the first event, None before and for
-        answers that are no streams.
-    """
+    """Represent one send of a request to one upstream, and its answer."""
 
-    __slots__ = ('answer', 'answering_since', 'connection', 'head', 'view')
+    __slots__ = ('answer', 'connection', 'head', 'view')
 
     def __init__(self, view: UpstreamView, connection: Connection) -> None:
         """Start without an answer."""
-        self.answering_since: float | None = None
         self.view = view
         self.connection = connection
         self.answer: Answer | None = None
@@ -124,10 +127,12 @@
     :param final_error: error answer to forward because no further send
         follows.
     :param retries: accounts the retries of this request.
+    :param crashes: reports to the crash guard.
     """
 
     __slots__ = (
         'call',
+        'crashes',
         'exchange',
         'final_error',
         'forwarder',
@@ -155,6 +160,7 @@
         self.last_upstream = ''
         self.final_error: tuple[AnswerStart, bytes] | None = None
         self.retries = RequestRetries(forwarder, call.service)
+        self.crashes = RequestCrashes(forwarder.crash_guard, call)
 
     def close(self) -> None:
         """Abort the exchange in progress, if any, and cancel its retry."""
@@ -176,12 +182,15 @@
         if exchange.head is not None and exchange.head.keep_alive_s is not None:
             exchange.connection.keep_alive_s = exchange.head.keep_alive_s
         self.forwarder.selector.succeeded(exchange.upstream)
-        crash_guard = self.forwarder.crash_guard
-        if not crash_guard.is_idle:
-            crash_guard.record_answer(self.call.digest())
+        self.crashes.record_answer()
         self.forwarder.pool.put_back(exchange.upstream, exchange.connection)
         self.forwarder.dispatcher.release(exchange.view)
 
+    def cancel_barred(self, trait: str) -> None:
+        """Cancel the send in progress if a newly barred trait may crash it."""
+        if self.exchange is not None and self.crashes.cancel(trait):
+            self.exchange.connection.interrupt()
+
     def run(self) -> Generator[AnswerPart, None, None]:
         """Send until an answer is forwarded completely or no send is left."""
         while True:
@@ -190,6 +199,8 @@
             except RetryRefused as error:
                 self.abort_exchange()
                 self.end_without_resend(str(error))
+            except RequestBarred as error:
+                self.end_barred(error)
             except CallError as error:
                 self.handle_failure(error)
             else:
@@ -226,6 +237,7 @@
         name = view.entry.name
         self.last_upstream = name
         try:
+            self.crashes.record_send()
             connection = self.connect(view)
         except BaseException:
             forwarder.dispatcher.release(view)
@@ -245,7 +257,9 @@
             waited_s=round(now - call.received_at, 3),
             left_s=round(call.deadline - now, 3),
         )
-        request = self.encode_request(name)
+        request = encode_request(
+            forwarder.header_codec, call, name, self.splitter.last_id
+        )
         left_s = call.deadline - boot_time()
         connection.send(request, call.method, left_s)
         return self.exchange
@@ -269,6 +283,7 @@
             frozenset(self.tracker.tried),
             call.pass_count,
             call.deadline,
+            call.part_traits(),
         )
         try:
             return self.forwarder.dispatcher.acquire_slot(waiter)
@@ -301,27 +316,6 @@
         timeout_s = min(CONNECT_TIMEOUT_S, left_s)
         return pool.open(view.entry.address, timeout_s)
 
-    def encode_request(self, name: str) -> bytes:
-        """Encode the request for an upstream.
-
-        :returns: head and body.
-        """
-        call = self.call
-        context = SendContext(
-            name,
-            call.deadline - boot_time(),
-            call.team,
-            call.urgency,
-            self.splitter.last_id,
-        )
-        lines = [f'{call.method} {call.target} HTTP/1.1']
-        headers = self.forwarder.header_codec.send_headers(call.head, context)
-        lines += [f'{key}: {text}' for key, text in headers]
-        if call.body or call.method not in {'GET', 'HEAD', 'DELETE'}:
-            lines.append(f'Content-Length: {len(call.body)}')
-        head = '\r\n'.join([*lines, '', ''])
-        return head.encode('latin-1') + call.body
-
     def read_head(self, exchange: Exchange) -> AnswerHead:
         """Wait for the head of the answer to this attempt.
 
@@ -330,7 +324,9 @@
         while True:
             answer = self.wait_for_head(exchange)
             head = self.forwarder.header_codec.read_answer(answer.headers)
-            self.record_announcements(exchange, answer, head)
+            self.forwarder.record_announcements(
+                exchange.upstream, answer.status, head
+            )
             if head.attempt in {'', self.call.head.attempt}:
                 break
             self.skip_stray_answer(exchange, answer, head)
@@ -341,25 +337,10 @@
             self.forwarder.selector.update_load(
                 exchange.upstream, head.load, now
             )
-        self.check_head(answer, head)
+        check_head(answer, head, exchange.upstream)
         self.forwarder.selector.accepted(exchange.upstream)
         return head
 
-    def record_announcements(
-        self,
-        exchange: Exchange,
-        answer: Answer,
-        head: AnswerHead,
-    ) -> None:
-        """Record what an upstream announces, also with another's answer."""
-        if answer.status == MISDIRECTED_STATUS:
-            # Another upstream made the answer.
-            return
-        if head.leaving:
-            self.forwarder.record_leaving(exchange.upstream)
-        if answer.status == UNAVAILABLE_STATUS and head.retry_after_s:
-            self.forwarder.record_hold(exchange.upstream, head.retry_after_s)
-
     def wait_for_head(self, exchange: Exchange) -> Answer:
         """Wait for a head until sending elsewhere is more promising.
 
@@ -419,29 +400,6 @@
             exchange.connection.read(self.call.deadline - boot_time())
         exchange.connection.finish()
 
-    def check_head(self, answer: Answer, head: AnswerHead) -> None:
-        """Check that a head belongs to a usable answer of the upstream.
-
-        :raises UpstreamReplaced: if another upstream has the address.
-        :raises RequestRejected: if the request did not run.
-        :raises ExchangeBroken: if the upstream did not make the answer, or
-            its body was re-encoded.
-        """
-        if answer.status == MISDIRECTED_STATUS:
-            raise UpstreamReplaced(
-                f'another upstream has the address of {self.last_upstream}',
-            )
-        if head.not_run:
-            raise RequestRejected(
-                f'{self.last_upstream} answered status {answer.status} and did'
-                f' not run the request',
-            )
-        if not head.signed or head.encoded:
-            raise ExchangeBroken(
-                f'answer with status {answer.status} is unsigned or encoded,'
-                f' so not from {self.last_upstream}',
-            )
-
     def forward_complete(
         self,
         exchange: Exchange,
@@ -497,8 +455,7 @@
         while True:
             events = splitter.feed(answer.take())
             if events:
-                if exchange.answering_since is None:
-                    exchange.answering_since = boot_time()
+                self.crashes.record_event()
                 if not self.has_started:
                     self.has_started = True
                     yield AnswerStart(answer.status, head.forwarded, None)
@@ -549,8 +506,10 @@
         now = boot_time()
         name = self.last_upstream
         self.tracker.record_failure(name, failure)
-        self.record_upstream_failure(name, failure, now)
-        answering_s = self.answering_s(now)
+        if self.crashes.barred_trait:
+            raise RequestBarred(self.crashes.barred_trait)
+        answering_s = self.crashes.answering_s()
+        self.record_upstream_failure(name, error, now)
         self.abort_exchange()
         stop_reason = '' if self.tracker.may_send(now) else NO_MORE_SENDS
         if not stop_reason and not self.retries.reserve(now):
@@ -574,25 +533,15 @@
         if stop_reason:
             self.end_without_resend(stop_reason)
 
-    def answering_s(self, now: float) -> float | None:
-        """Return how long the upstream has been sending its answer.
-
-        :returns: seconds since the first event of a stream, None before.
-        """
-        exchange = self.exchange
-        if exchange is None or exchange.answering_since is None:
-            return None
-        return round(now - exchange.answering_since, 3)
-
     def record_upstream_failure(
         self,
         name: str,
-        failure: SendFailure,
+        error: CallError,
         now: float,
     ) -> None:
         """Report a failed send to the upstream selector and the crash guard."""
         selector = self.forwarder.selector
-        match failure:
+        match classify_failure(error):
             case SendFailure.rejected:
                 selector.rejected(name, now)
             case SendFailure.replaced:
@@ -601,12 +550,36 @@
                 selector.returned_error(name)
             case SendFailure.unreachable:
                 selector.failed(name, now)
-                self.forwarder.crash_guard.record_upstream_death(name)
+                if isinstance(error, Unreachable) and error.is_refused:
+                    self.forwarder.crash_guard.record_upstream_death(name)
+            case SendFailure.broken:
+                selector.failed(name, now)
+                self.record_break()
             case _:
                 selector.failed(name, now)
-                self.forwarder.crash_guard.record_broken_connection(
-                    self.call.digest(), name
-                )
+
+    def record_break(self) -> None:
+        """Report that the connection of the send in progress broke."""
+        exchange = self.exchange
+        if exchange is not None:
+            self.crashes.record_break(
+                exchange.upstream, exchange.view.entry.address
+            )
+
+    def end_barred(self, error: RequestBarred) -> None:
+        """End a request that must not be sent, or not again.
+
+        :raises ForwardingFailed: if nothing was forwarded.
+        :raises AnswerAborted: if the answer has started.
+        """
+        self.abort_exchange()
+        if self.has_started:
+            raise AnswerAborted(str(error)) from error
+        left_s = self.call.deadline - boot_time()
+        refusal = self.tracker.refusal(
+            Kind.crashes_upstreams, left_s, str(error)
+        )
+        raise ForwardingFailed(refusal) from error
 
     def end_without_resend(self, why: str) -> None:
         """End the request after a failed send that is the last one.
@@ -646,48 +619,6 @@
         return ForwardingFailed(self.tracker.refusal(kind, bounded_s, why))
 
 
-class RequestRejected(CallError):
-    """Report that the upstream did not run the request."""
-
-
-class UpstreamReplaced(CallError):
-    """Report that another upstream has the address; nothing ran."""
-
-
-class ErrorAnswer(CallError):
-    """Report that the upstream ran the request and answered with an error."""
-
-
-def check_event_size(splitter: EventSplitter, upstream: str) -> None:
-    """Check the size of the event that a stream has begun.
-
-    :raises AnswerMalformed: if it exceeds the bound.
-    """
-    if len(splitter.incomplete) > MAX_EVENT_BYTES:
-        raise AnswerMalformed(upstream, 'event')
-
-
-def classify_failure(error: CallError) -> SendFailure:
-    """Classify a failed send.
-
-    :returns: the kind of failure, ``broken`` if it has no other kind.
-    """
-    match error:
-        case RequestRejected():
-            return SendFailure.rejected
-        case UpstreamReplaced():
-            return SendFailure.replaced
-        case Unreachable():
-            return SendFailure.unreachable
-        case AnswerTimeout():
-            return SendFailure.silent
-        case AnswerMalformed():
-            return SendFailure.malformed
-        case ErrorAnswer():
-            return SendFailure.failed
-    return SendFailure.broken
-
-
 def stream_patience_s(route: Route) -> float:
     """Estimate how long the caller of a stream waits for its first event.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
@@ -1,122 +1,174 @@
-"""Detect requests that crash upstreams and share suspects between entries."""
+"""Bar what crashes upstreams, together with the other entries."""
 
 from collections.abc import Callable, Iterable
-from typing import Any
 
-from comfreyarch_core.crashguard import (
+import gevent
+
+from comfreyarch_core.crashguard import CrashGuard, make_crash_guard
+from comfreyarch_core.crashmessages import (
     ConnectionBroken,
-    CrashGuard,
+    Lift,
     Message,
-    PeerReport,
+    Notice,
     RequestAnswered,
+    TraitBarred,
+    TraitCleared,
+    UpstreamAlive,
     UpstreamDied,
-    make_crash_guard,
 )
-from comfreyarch_daemon.datagrams import Datagrams
+from comfreyarch_daemon.crashgossip import CrashGossip, make_crash_gossip
 from comfreyarch_daemon.eventlog import EventLog
-from comfreyarch_daemon.upstreamcalls import boot_time
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.upstreamcalls import (
+    Connection,
+    Unreachable,
+    boot_time,
+)
+
+# Time in which an upstream that is alive accepts a connection.
+LIVENESS_TIMEOUT_S = 0.25
+
+
+class RequestBarred(Exception):
+    """Report that a request must not be sent, due to one of its traits."""
 
-# Tag of the messages with a suspect.
-CRASHES = 'crashes'
-# Number of newest suspects that are sent again periodically, for entries that
-# started later and because datagrams may be lost.
-MAX_RESENT = 20
+    def __init__(self, trait: str) -> None:
+        """Name the trait."""
+        super().__init__(f'upstreams crashed on other requests with {trait!r}')
+        self.trait = trait
 
 
 class SharedCrashGuard:
-    """Own an entry's crash guard and exchange its suspects with peers.
+    """Own an entry's crash guard; exchange evidence and bars with peers.
 
-    :param peers: returns the addresses of the other entries.
+    :param checks: liveness checks in progress, by upstream.
+    :param on_barred: called with each newly barred trait.
     """
 
-    __slots__ = ('datagrams', 'guard', 'log', 'peers')
+    __slots__ = ('checks', 'gossip', 'guard', 'log', 'metrics', 'on_barred')
 
-    def __init__(self, log: EventLog) -> None:
-        """Start without suspects; nothing is sent before ``share``."""
+    def __init__(self, log: EventLog, metrics: Metrics) -> None:
+        """Start without evidence; peers are unknown before ``gossip.share``."""
         self.log = log
+        self.metrics = metrics
         self.guard: CrashGuard = make_crash_guard()
-        self.datagrams: Datagrams | None = None
-        self.peers: Callable[[], Iterable[str]] = tuple
-
-    def share(
-        self,
-        datagrams: Datagrams,
-        peers: Callable[[], Iterable[str]],
-    ) -> None:
-        """Start to exchange suspects with the other entries."""
-        self.datagrams = datagrams
-        self.peers = peers
-        datagrams.handlers[CRASHES] = self.receive_suspect
+        self.gossip: CrashGossip = make_crash_gossip(
+            self.guard, self.apply_peer_notices
+        )
+        self.checks: dict[str, gevent.Greenlet] = {}
+        self.on_barred: Callable[[str], None] = ignore
 
     @property
     def is_idle(self) -> bool:
-        """Check that there is no suspect and no recently broken connection.
+        """Check that neither evidence nor bars are on record.
 
         :returns: True almost always; no digest needs to be computed then.
         """
-        return not self.guard.suspects and not self.guard.breaks
+        return self.guard.is_idle
 
-    def is_barred(self, digest: Callable[[], str]) -> bool:
-        """Check whether a request is barred from upstreams.
+    def check(self, traits: Callable[[], Iterable[str]]) -> None:
+        """Check that a request may be sent.
 
-        :param digest: computes the digest of the request; called only if
-            needed.
-        :returns: True if the request crashed several upstreams.
+        :param traits: computes its traits; called only if there are bars.
+        :raises RequestBarred: if one of them is barred.
         """
-        if self.is_idle:
-            return False
-        return self.guard.barred(digest(), boot_time())
+        if not self.guard.bars:
+            return
+        trait = self.guard.barred_trait(traits(), boot_time())
+        if trait:
+            raise RequestBarred(trait)
+
+    def record_send(self, traits: Callable[[], Iterable[str]]) -> None:
+        """Record that a request is sent."""
+        if self.guard.bars:
+            self.guard.record_send(traits(), boot_time())
+
+    def record_broken_connection(
+        self, traits: tuple[str, ...], upstream: str, address: str
+    ) -> None:
+        """Record that a connection broke before the answer, and check why.
 
-    def record_broken_connection(self, digest: str, upstream: str) -> None:
-        """Record that the connection of a request to an upstream broke."""
-        self.handle_event(ConnectionBroken(digest, upstream))
+        Returns once it is known whether the upstream is dead.
+        """
+        self.handle_event(ConnectionBroken(traits, upstream))
+        self.check_alive(upstream, address)
 
-    def record_answer(self, digest: str) -> None:
-        """Record that an upstream answered a request."""
-        self.handle_event(RequestAnswered(digest))
+    def record_answer(self, traits: tuple[str, ...]) -> None:
+        """Record that an upstream survived the begin of an answer."""
+        self.handle_event(RequestAnswered(traits))
 
     def record_upstream_death(self, upstream: str) -> None:
         """Record that an upstream refuses connections or is unlisted."""
-        if self.guard.breaks:
+        if self.guard.records.breaks:
             self.handle_event(UpstreamDied(upstream))
 
-    def handle_event(self, message: Message) -> None:
-        """Pass an event to the guard; log and send the changed suspects."""
-        for suspect in self.guard.handle(message, boot_time()):
-            self.log.write(
-                'crash_suspect',
-                digest=suspect.digest,
-                upstreams=sorted(suspect.upstreams),
-                barred=suspect.barred,
-            )
-            self.send_suspect(suspect.digest, suspect.upstreams)
-
-    def resend_suspects(self) -> None:
-        """Send the newest suspects to all peers again."""
-        for digest in list(self.guard.suspects)[-MAX_RESENT:]:
-            self.send_suspect(digest, self.guard.suspects[digest].upstreams)
-
-    def send_suspect(self, digest: str, upstreams: Iterable[str]) -> None:
-        """Send a suspect request to all peers.
-
-        :param digest: identifies the request.
-        :param upstreams: names of the upstreams that it crashed, none to
-            clear it.
+    def lift(self, trait: str) -> bool:
+        """Lift a bar here and at the other entries.
+
+        :returns: False if the trait is not barred.
         """
-        if self.datagrams is None:
-            return
-        message = [CRASHES, digest, sorted(upstreams)]
-        for address in self.peers():
-            self.datagrams.send(message, address)
+        is_barred = trait in self.guard.bars
+        self.handle_event(Lift(trait))
+        return is_barred
 
-    def receive_suspect(self, message: list[Any], _address: str) -> None:
-        """Handle a suspect received from a peer.
+    def check_alive(self, upstream: str, address: str) -> bool:
+        """Check whether an upstream accepts connections, once at a time.
 
-        :raises ValueError: if the message is malformed.
+        :returns: False only if it refuses them.
         """
-        digest, upstreams = message[1:3]
-        if not isinstance(digest, str) or not isinstance(upstreams, list):
-            raise ValueError(
-                'suspect has no valid digest and list of upstreams'
-            )
-        self.handle_event(PeerReport(digest, frozenset(map(str, upstreams))))
+        check = self.checks.get(upstream)
+        if check is None:
+            check = gevent.spawn(self.run_check, upstream, address)
+            self.checks[upstream] = check
+        is_alive: bool = check.get()
+        return is_alive
+
+    def run_check(self, upstream: str, address: str) -> bool:
+        """Connect to an upstream and record whether it is alive.
+
+        :returns: False only if it refuses connections.
+        """
+        connection = Connection(address)
+        try:
+            connection.start(LIVENESS_TIMEOUT_S)
+        except Unreachable as error:
+            if error.is_refused:
+                self.handle_event(UpstreamDied(upstream))
+            return not error.is_refused
+        finally:
+            self.checks.pop(upstream, None)
+            connection.close()
+        self.handle_event(UpstreamAlive(upstream))
+        return True
+
+    def tick(self) -> None:
+        """Drop old evidence, and send the rest to the peers again."""
+        self.guard.expire(boot_time())
+        self.gossip.resend()
+
+    def handle_event(self, message: Message) -> None:
+        """Pass an event to the guard and tell the peers what it concludes."""
+        notices = self.guard.handle(message, boot_time())
+        if notices:
+            self.gossip.send(notices)
+            self.apply(notices)
+
+    def apply_peer_notices(self, notices: list[Notice]) -> None:
+        """Apply what follows from a peer's message."""
+        self.apply(notices)
+
+    def apply(self, notices: list[Notice]) -> None:
+        """Log and count new and lifted bars, and stop requests under way."""
+        for notice in notices:
+            match notice:
+                case TraitBarred(trait, crashes):
+                    self.log.write('trait_barred', trait=trait, crashes=crashes)
+                    self.metrics.count('traits_barred')
+                    self.on_barred(trait)
+                case TraitCleared(trait):
+                    self.log.write('trait_cleared', trait=trait)
+        self.metrics.gauge('bars', len(self.guard.bars))
+
+
+def ignore(_trait: str) -> None:
+    """Do nothing; the default for ``SharedCrashGuard.on_barred``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamcalls.py
@@ -51,7 +51,15 @@
 
 
 class Unreachable(CallError):
-    """Report that no connection was opened, so nothing was sent."""
+    """Report that no connection was opened, so nothing was sent.
+
+    :param is_refused: whether the instance answered that nothing listens.
+    """
+
+    def __init__(self, why: str, *, is_refused: bool) -> None:
+        """Record the reason."""
+        super().__init__(why)
+        self.is_refused = is_refused
 
 
 class AnswerTimeout(CallError):
@@ -125,6 +133,7 @@
             self.close()
             raise Unreachable(
                 f'cannot connect to {self.address}: {error}',
+                is_refused=isinstance(error, ConnectionRefusedError),
             ) from error
 
     def close(self) -> None:
@@ -132,6 +141,14 @@
         self.memory.release(id(self))
         self.sock.close()
 
+    def interrupt(self) -> None:
+        """Make a read in progress fail; the owner closes the connection."""
+        try:
+            self.sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The peer has closed the connection, so the read fails anyway.
+            return
+
     def send(self, request: bytes, method: str, timeout_s: float) -> None:
         """Send a request and prepare to parse its answer.
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -1,6 +1,7 @@
-"""Test that a request which crashes each upstream is barred despite retries.
+"""Test that what crashes each upstream is barred, and nothing else.
 
-Callers send such a request again and again, through different entries.
+Callers send the same request again and again, or requests that share one part
+of their prompts, through different entries.
 """
 
 import random
@@ -9,72 +10,208 @@
 from direct_world import World, answering
 
 from comfreyarch_core.crashguard import (
-    BARRING_CRASHES,
-    EVIDENCE_S,
-    SUSPECT_TTL_S,
+    BAR_SCORE,
+    MAX_BARS,
+    MIN_ANSWERS,
+    make_crash_guard,
+)
+from comfreyarch_core.crashmessages import (
     ConnectionBroken,
-    PeerReport,
+    CrashObserved,
+    Lift,
+    PeerAnswer,
+    PeerBar,
+    PeerCrash,
     RequestAnswered,
+    SuspectAnswered,
+    TraitBarred,
+    TraitCleared,
+    UpstreamAlive,
     UpstreamDied,
-    make_crash_guard,
 )
+from comfreyarch_core.crashrecords import EVIDENCE_S, MAX_CRASHES, SAME_CRASH_S
+from comfreyarch_core.traitbars import BAR_S, PROBE_OUTCOME_S
+from comfreyarch_core.traitscores import MAX_TRAITS
 
 # Retries that may reach upstreams after the third crash, by requirement.
 MAX_LATER_RETRIES = 3
+REQUEST = 'request:d'
+COMMON = 'part:c'
+BAD = 'part:bad'
 
 
-def crash(guard, digest, upstream, now):
+def crash(guard, upstream, now, *traits):
     """Crash an upstream with a request.
 
     :returns: the notices for the other entries.
     """
-    guard.handle(ConnectionBroken(digest, upstream), now)
-    return guard.handle(UpstreamDied(upstream), now + 1)
+    guard.handle(ConnectionBroken(traits, upstream), now)
+    return guard.handle(UpstreamDied(upstream), now)
+
+
+def guard_with_baseline(*traits):
+    """Create a guard that has received answers with some traits."""
+    guard = make_crash_guard()
+    for _ in range(MIN_ANSWERS):
+        guard.handle(RequestAnswered(traits), 0)
+    return guard
 
 
 def test_a_request_that_crashed_three_upstreams_is_barred():
     guard = make_crash_guard()
-    for number in range(BARRING_CRASHES):
-        assert not guard.barred('d', number)
-        (notice,) = crash(guard, 'd', f'u{number}', number)
-    assert notice.barred
-    assert len(notice.upstreams) == BARRING_CRASHES
-    assert guard.barred('d', BARRING_CRASHES)
-    assert not guard.barred('other', BARRING_CRASHES)
+    for number in range(BAR_SCORE):
+        assert not guard.barred_trait((REQUEST,), number)
+        notices = crash(guard, f'u{number}', number, REQUEST)
+    assert notices == [
+        CrashObserved(f'u{BAR_SCORE - 1}', (REQUEST,)),
+        TraitBarred(REQUEST, BAR_SCORE),
+    ]
+    assert guard.barred_trait((REQUEST,), BAR_SCORE) == REQUEST
+    assert not guard.barred_trait(('request:other',), BAR_SCORE)
+
+
+def test_the_part_that_different_requests_share_is_barred():
+    """Guards against evidence that is keyed by one request (issue 28)."""
+    guard = guard_with_baseline(COMMON)
+    for number in range(BAR_SCORE):
+        crash(guard, f'u{number}', 1, COMMON, BAD, f'request:{number}')
+    assert set(guard.bars) == {BAD}
+    assert guard.barred_trait((COMMON, BAD), 1) == BAD
+    assert not guard.barred_trait((COMMON, 'part:d'), 1)
 
 
 def test_a_broken_connection_to_a_live_upstream_is_no_crash():
     guard = make_crash_guard()
-    for number in range(BARRING_CRASHES):
-        guard.handle(ConnectionBroken('d', f'u{number}'), 0)
+    for number in range(BAR_SCORE):
+        guard.handle(ConnectionBroken((REQUEST,), f'u{number}'), 0)
     late = 2 * EVIDENCE_S
-    for number in range(BARRING_CRASHES):
+    for number in range(BAR_SCORE):
+        assert not guard.handle(UpstreamDied(f'u{number}'), late)
+    for number in range(BAR_SCORE):
+        guard.handle(ConnectionBroken((REQUEST,), f'u{number}'), late)
+        guard.handle(UpstreamAlive(f'u{number}'), late)
         assert not guard.handle(UpstreamDied(f'u{number}'), late)
-    assert not guard.barred('d', late)
+    assert not guard.barred_trait((REQUEST,), late)
+
+
+def test_answers_count_against_a_suspect_at_all_entries():
+    guard = make_crash_guard()
+    for number in range(BAR_SCORE - 1):
+        crash(guard, f'u{number}', number, REQUEST)
+    notices = guard.handle(RequestAnswered((REQUEST,)), BAR_SCORE)
+    assert notices == [SuspectAnswered(REQUEST)]
+    guard.handle_peer(PeerAnswer(REQUEST), BAR_SCORE)
+    for number in range(BAR_SCORE - 1):
+        crash(guard, f'v{number}', BAR_SCORE, REQUEST)
+    assert not guard.barred_trait((REQUEST,), BAR_SCORE)
+
+
+def test_what_is_answered_often_is_not_barred_when_a_service_goes_down():
+    """Guards against a bar on what sound requests share (rule LOST)."""
+    guard = guard_with_baseline(COMMON)
+    for number in range(100):
+        crash(guard, f'u{number}', 1, COMMON, f'request:{number}')
+    assert not guard.bars
 
 
-def test_one_that_only_shared_dying_upstreams_is_cleared_by_an_answer():
+def test_parts_are_not_judged_before_it_is_known_which_are_common():
     guard = make_crash_guard()
-    for number in range(BARRING_CRASHES - 1):
-        crash(guard, 'd', f'u{number}', number)
-    (notice,) = guard.handle(RequestAnswered('d'), BARRING_CRASHES)
-    assert not notice.upstreams
-    crash(guard, 'd', 'u9', BARRING_CRASHES)
-    assert not guard.barred('d', BARRING_CRASHES)
+    for number in range(20):
+        crash(guard, f'u{number}', 1, COMMON, f'request:{number}')
+    assert not guard.bars
 
 
-def test_the_same_upstream_counts_once():
+def test_crashes_that_a_barred_part_explains_do_not_count_for_others():
+    guard = guard_with_baseline(COMMON)
+    for number in range(BAR_SCORE):
+        parts = (BAD, 'part:a') if number else (BAD,)
+        crash(guard, f'u{number}', 1, *parts)
+    assert set(guard.bars) == {BAD}
+    for number in range(2):
+        crash(guard, f'v{number}', 2, 'part:a')
+    assert set(guard.bars) == {BAD}
+    crash(guard, 'v2', 2, 'part:a')
+    assert set(guard.bars) == {BAD, 'part:a'}
+
+
+def test_a_bar_is_lifted_once_another_part_explains_its_crashes():
+    guard = guard_with_baseline(COMMON)
+    for number in range(BAR_SCORE):
+        crash(guard, f'u{number}', 1, BAD, 'part:a')
+    assert set(guard.bars) == {'part:a'}
+    notices = crash(guard, 'u9', 2, BAD, 'part:b')
+    assert TraitCleared('part:a') in notices
+    assert set(guard.bars) == {BAD}
+
+
+def test_reports_of_one_crash_count_once_and_a_restarted_upstream_again():
+    guard = make_crash_guard()
+    crash(guard, 'u', 0, REQUEST)
+    for age_s in (0.0, 0.5, 1.0):
+        guard.handle_peer(PeerCrash('u', (REQUEST,), age_s), 1)
+    assert guard.scores.net(REQUEST) == 1
+    crash(guard, 'u', SAME_CRASH_S, REQUEST)
+    assert guard.scores.net(REQUEST) == 2
+
+
+def test_after_its_end_a_bar_lets_one_probe_through():
     guard = make_crash_guard()
-    for now in range(5):
-        crash(guard, 'd', 'u', now)
-    assert not guard.barred('d', 5)
+    guard.handle_peer(PeerBar(REQUEST, 0, BAR_S), 0)
+    assert guard.barred_trait((REQUEST,), BAR_S - 1)
+    assert not guard.barred_trait((REQUEST,), BAR_S)
+    guard.record_send((REQUEST,), BAR_S)
+    assert guard.barred_trait((REQUEST,), BAR_S)
+    assert not guard.barred_trait((REQUEST,), BAR_S + PROBE_OUTCOME_S + 1)
+    crash(guard, 'u', BAR_S + 1, REQUEST)
+    assert guard.barred_trait((REQUEST,), 2 * BAR_S)
+    guard.record_send((REQUEST,), 2 * BAR_S + 1)
+    (notice,) = guard.handle(RequestAnswered((REQUEST,)), 2 * BAR_S + 1)[1:]
+    assert notice == TraitCleared(REQUEST)
+    assert not guard.bars
+
+
+def test_a_lifted_bar_is_not_taken_over_from_a_peer_that_missed_it():
+    guard = make_crash_guard()
+    guard.handle_peer(PeerBar(REQUEST, 0, BAR_S), 0)
+    assert guard.handle(Lift(REQUEST), 5) == [TraitCleared(REQUEST)]
+    late = guard.handle_peer(PeerBar(REQUEST, 6, BAR_S - 6), 6)
+    assert late == [TraitCleared(REQUEST)]
+    assert not guard.bars
+    guard.handle_peer(PeerBar(REQUEST, 0.5, BAR_S), 6)
+    assert set(guard.bars) == {REQUEST}
+
+
+def test_an_entry_that_receives_answers_does_not_take_over_a_bar():
+    guard = guard_with_baseline(COMMON)
+    notices = guard.handle_peer(PeerBar(COMMON, 0, BAR_S), 1)
+    assert notices == [TraitCleared(COMMON)]
+    assert not guard.bars
+
+
+def test_records_are_bounded_and_a_flood_of_parts_clears_no_suspect():
+    guard = guard_with_baseline(COMMON)
+    for number in range(BAR_SCORE - 1):
+        crash(guard, f'u{number}', 1, BAD)
+    for number in range(2 * MAX_TRAITS):
+        guard.handle(RequestAnswered((f'part:{number}',)), 2)
+    assert len(guard.scores.counts) <= MAX_TRAITS
+    crash(guard, 'u9', 3, BAD)
+    assert set(guard.bars) == {BAD}
+    for number in range(3 * MAX_BARS):
+        guard.handle_peer(PeerBar(f'part:x{number}', 0, BAR_S), 4)
+        crash(guard, f'w{number}', 4, f'part:y{number}')
+    assert len(guard.bars) == MAX_BARS
+    assert len(guard.records.crashes) == MAX_CRASHES
+    guard.expire(4 + EVIDENCE_S + BAR_S)
+    assert not guard.records.crashes
 
 
-def test_a_bar_ends_after_a_time_without_news():
+def test_evidence_that_has_expired_counts_no_longer():
     guard = make_crash_guard()
-    guard.handle(PeerReport('d', frozenset('abc')), 0)
-    assert guard.barred('d', SUSPECT_TTL_S)
-    assert not guard.barred('d', SUSPECT_TTL_S + 1)
+    for number in range(BAR_SCORE - 1):
+        crash(guard, f'u{number}', 0, REQUEST)
+    crash(guard, 'u9', 10_000, REQUEST)
+    assert not guard.bars
 
 
 @pytest.mark.parametrize('seed', range(20))
@@ -87,16 +224,18 @@
     for number in range(200):
         now = number * 0.5
         guard = source.choice(guards)
-        if guard.barred('d', now):
+        if guard.barred_trait((REQUEST,), now):
             continue
-        later += crashed >= BARRING_CRASHES
+        later += crashed >= BAR_SCORE
         crashed += 1
-        for notice in crash(guard, 'd', f'u{number}', now):
-            report = PeerReport(notice.digest, notice.upstreams)
+        for notice in crash(guard, f'u{number}', now, REQUEST):
+            if not isinstance(notice, CrashObserved):
+                continue
+            report = PeerCrash(notice.upstream, notice.traits, 0)
             for other in guards:
                 if source.random() < 0.9:
-                    other.handle(report, now)
-    assert crashed >= BARRING_CRASHES
+                    other.handle_peer(report, now)
+    assert crashed >= BAR_SCORE
     assert later <= MAX_LATER_RETRIES
 
 
@@ -117,7 +256,7 @@
                 if not upstream.seen
             ]
             world.entry.replace_upstreams(listed)
-        assert world.runs == BARRING_CRASHES
+        assert world.runs == BAR_SCORE
         assert status == 503
         kinds = [
             facts['kind']
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -15,18 +15,25 @@
 BAD_PART = 'bad0'
 
 
-def crash_on_bad_part(upstream, sock, request):
-    """Answer a request, or crash after the head if it has the bad part."""
-    head, _, body = request[1].get('x-prompt-prefix', ''), *request[1:]
-    if f'{BAD_PART}:' not in head:
-        sock.sendall(reply(request, body=body))
-        return None
-    attempt = request[1]['x-attempt-id']
-    sock.sendall(
-        f'HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n{SIGNED}\r\n'.encode()
-    )
-    upstream.server.stop(timeout=0)
-    return 'close'
+def crash_on_bad_part(framing):
+    """Create a script that crashes after the head of a bad request's answer.
+
+    :param framing: header that tells where the body ends, empty for none.
+    """
+
+    def script(upstream, sock, request):
+        if f'{BAD_PART}:' not in request[1].get('x-prompt-prefix', ''):
+            sock.sendall(reply(request, body=request[2]))
+            return None
+        attempt = request[1]['x-attempt-id']
+        sock.sendall(
+            f'HTTP/1.1 200 X\r\nX-Attempt-Id: {attempt}\r\n{SIGNED}'
+            f'{framing}\r\n'.encode()
+        )
+        upstream.server.stop(timeout=0)
+        return 'close'
+
+    return script
 
 
 def call_with_parts(world, path, number, *parts):
@@ -39,10 +46,15 @@
     )
 
 
+@pytest.mark.parametrize(
+    'framing',
+    ['Content-Length: 9\r\n', ''],
+    ids=['framed', 'unframed'],
+)
 @pytest.mark.parametrize('path', ['/safe/x', '/stream/x', '/once/x'])
-def test_few_requests_with_a_crashing_part_reach_upstreams(path):
+def test_few_requests_with_a_crashing_part_reach_upstreams(path, framing):
     """Guards against rule BUDGET broken by different requests (issue 28)."""
-    scripts = [crash_on_bad_part] * UPSTREAMS
+    scripts = [crash_on_bad_part(framing)] * UPSTREAMS
     with World(*scripts) as world:
         for number in range(UPSTREAMS):
             call_with_parts(world, path, number, BAD_PART)
