Do not take an answer that a crash ended for a complete one

An answer without length or chunks ends with its connection, and so does one whose upstream crashes: callers got half an answer, or an empty stream, as a success, and the crash guard counted it as an answer. After such an end the entry now checks whether the upstream still accepts connections; a stream must have had an event, unless it resumes after the last one. A stream that ends inside an event has been broken off, also in chunks.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/answerparser.py
@@ -19,7 +19,8 @@
 
     :param body: received bytes of the body that were not taken yet.
     :param complete: whether the end of the body was received.
-    :param is_framed: whether the headers determine where the body ends.
+    :param ended_by_close: whether only the end of the connection shows where
+        the body ends.
     :param has_head: whether status and headers were received.
     :param headers: pairs of name and value in the order sent.
     """
@@ -27,9 +28,9 @@
     __slots__ = (
         'body',
         'complete',
+        'ended_by_close',
         'has_head',
         'headers',
-        'is_framed',
         'status',
     )
 
@@ -39,7 +40,7 @@
         self.headers: list[tuple[str, str]] = []
         self.body = bytearray()
         self.has_head = False
-        self.is_framed = False
+        self.ended_by_close = False
         self.complete = False
 
     def take(self) -> bytes:
@@ -85,6 +86,8 @@
             self.feed(received)
         except HTTPParseError as error:
             self.parse_error = str(error)
+        if not received and self.answers:
+            self.answers[-1].ended_by_close = True
         body, self.body_received = self.body_received, 0
         has_head = bool(self.answers) and self.answers[-1].has_head
         self.exceeded = self.meter.record(len(received), body, has_head)
@@ -123,10 +126,6 @@
         self._store_header()
         answer = self.answers[-1]
         answer.status = self.get_code()
-        answer.is_framed = any(
-            name.lower() in ('content-length', 'transfer-encoding')
-            for name, _ in answer.headers
-        )
         answer.has_head = True
         return self.is_bodiless
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
@@ -1,8 +1,10 @@
 """Report what the sends of one request tell about crashes of upstreams."""
 
+from comfreyarch_core.upstreamlist import UpstreamEntry
+from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.forwarding import Call
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
-from comfreyarch_daemon.upstreamcalls import boot_time
+from comfreyarch_daemon.upstreamcalls import ExchangeBroken, boot_time
 
 # Time from the first event of a stream after which its upstream has survived
 # the request; one that a request crashes ends within a tenth of a second.
@@ -68,6 +70,16 @@
                 self.call.traits(), upstream, address
             )
 
+    def check_end(self, answer: Answer, upstream: UpstreamEntry) -> None:
+        """Check that an answer without a length was not cut off by a crash.
+
+        :raises ExchangeBroken: if its upstream is dead.
+        """
+        if not answer.ended_by_close:
+            return
+        if not self.crash_guard.check_alive(upstream.name, upstream.address):
+            raise ExchangeBroken(f'{upstream.name} ended with its answer')
+
     def cancel(self, trait: str) -> bool:
         """Cancel the current send if a newly barred trait may crash upstreams.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -35,6 +35,7 @@
     ErrorAnswer,
     check_event_size,
     check_head,
+    check_stream_end,
     classify_failure,
 )
 from comfreyarch_daemon.sharedcrashguard import RequestBarred
@@ -414,6 +415,7 @@
         """
         while not answer.complete:
             self.read_more(exchange)
+        self.crashes.check_end(answer, exchange.view.entry)
         body = answer.take()
         start = AnswerStart(answer.status, head.forwarded, len(body))
         failed = answer.status >= MIN_ERROR_STATUS
@@ -452,9 +454,11 @@
         """Forward the events of a stream as they arrive."""
         splitter = self.splitter
         splitter.restart()
+        has_events = False
         while True:
             events = splitter.feed(answer.take())
             if events:
+                has_events = True
                 self.crashes.record_event()
                 if not self.has_started:
                     self.has_started = True
@@ -469,10 +473,10 @@
                 break
             check_event_size(splitter, exchange.upstream)
             self.read_more(exchange)
-        if splitter.incomplete and not answer.is_framed:
-            raise ExchangeBroken(
-                f'the stream of {exchange.upstream} ended within an event',
-            )
+        check_stream_end(
+            splitter, answer, exchange.upstream, has_events=has_events
+        )
+        self.crashes.check_end(answer, exchange.view.entry)
         if not self.has_started:
             yield AnswerStart(answer.status, head.forwarded, None)
         yield splitter.incomplete
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sendfailures.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sendfailures.py
@@ -36,6 +36,29 @@
         raise AnswerMalformed(upstream, 'event')
 
 
+def check_stream_end(
+    splitter: EventSplitter,
+    answer: Answer,
+    upstream: str,
+    *,
+    has_events: bool,
+) -> None:
+    """Check that a stream did not end within an event, or before the first.
+
+    A body with a length that holds no event at all is no event stream, and is
+    forwarded as it is. A resumed stream may have no event left.
+
+    :param has_events: whether this upstream sent a whole event.
+    :raises ExchangeBroken: if the stream was broken off.
+    """
+    if splitter.incomplete and (has_events or answer.ended_by_close):
+        raise ExchangeBroken(f'the stream of {upstream} ended within an event')
+    if answer.ended_by_close and not has_events and splitter.last_id < 0:
+        raise ExchangeBroken(
+            f'the stream of {upstream} ended before its first event'
+        )
+
+
 def classify_failure(error: CallError) -> SendFailure:
     """Classify a failed send.
 
