Relay no answer as complete that a crash of the upstream ended, in a sidecar

It now checks that the upstream still accepts connections, and that a stream ends after an event.

The readers of JSON (store, engines, operators' pages) were looked at and not changed: a JSON document that is cut off does not parse.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamclient.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamclient.py
@@ -20,6 +20,10 @@
 MAX_POOLED_CONNECTIONS = 64
 # End of a server-sent event.
 EVENT_END = b'\n\n'
+# Headers that determine where a body ends.
+FRAMING_HEADERS = frozenset(('content-length', 'transfer-encoding'))
+# Status codes of answers without a body.
+BODILESS_STATUSES = frozenset((204, 304))
 # Headers that concern only the upstream's connection or server; not relayed.
 DROPPED_HEADERS = frozenset(
     (
@@ -101,6 +105,35 @@
         except (OSError, HTTPParseError, ResendRefused) as error:
             raise CallLost(repr(error)) from error
 
+    def read_body(
+        self, call: frames.Call, response: HTTPSocketPoolResponse
+    ) -> Iterator[bytes]:
+        """Yield the body of an answer: its events if it is a stream.
+
+        :raises CallLost: if the body is cut off.
+        """
+        if call.stream:
+            yield from read_events(call, response)
+        else:
+            yield read_whole(response)
+        if ends_by_close(call, response) and not self.accepts_connections():
+            raise CallLost('the upstream ended with its answer')
+
+    def accepts_connections(self) -> bool:
+        """Check whether the upstream is alive.
+
+        :returns: False only if it refuses connections.
+        """
+        address = (self.pool.host, self.pool.port)
+        try:
+            socket.create_connection(address, CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            # It is unknown whether the upstream is alive.
+            return True
+        return True
+
     def make_one_shot_client(self) -> HTTPClient:
         """Create a client that can send one call only.
 
@@ -123,24 +156,49 @@
         self.pool.close()
 
 
-def read_events(response: HTTPSocketPoolResponse) -> Iterator[bytes]:
+def read_events(
+    call: frames.Call, response: HTTPSocketPoolResponse
+) -> Iterator[bytes]:
     """Yield the complete events of a streamed body.
 
+    A body with a length that holds no event is no event stream, and is yielded
+    as it is. A resumed stream may have no event left.
+
     :raises CallLost: if the stream is cut off.
     """
+    has_events = False
     while True:
         try:
             event = bytes(response.readline(EVENT_END))
         except (OSError, HTTPParseError) as error:
             raise CallLost(repr(error)) from error
-        if not event:
+        if not event.endswith(EVENT_END):
             break
+        has_events = True
         yield event
-    remainder = read_whole(response)
+    remainder = event + read_whole(response)
+    may_end = has_events or call.resume_from > 0
+    if remainder and may_end:
+        raise CallLost('the stream ended within an event')
+    if not may_end and ends_by_close(call, response):
+        raise CallLost('the stream ended before its first event')
     if remainder:
         yield remainder
 
 
+def ends_by_close(call: frames.Call, response: HTTPSocketPoolResponse) -> bool:
+    """Check whether only the end of the connection shows the end of a body.
+
+    :returns: False if the head determines it.
+    """
+    is_bodiless = response.status_code in BODILESS_STATUSES
+    if call.method == 'HEAD' or is_bodiless:
+        return False
+    return not any(
+        str(name).lower() in FRAMING_HEADERS for name, _ in response.items()
+    )
+
+
 def read_whole(response: HTTPSocketPoolResponse) -> bytes:
     """Read a body to its end.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamrelay.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamrelay.py
@@ -10,9 +10,7 @@
 from comfreyarch_daemon.upstreamclient import (
     UpstreamClient,
     close_response,
-    read_events,
     read_head,
-    read_whole,
 )
 
 
@@ -47,7 +45,7 @@
         self.before_dispatch(pending)
         response = self.client.open(pending.call)
         try:
-            body = read_whole(response)
+            body = b''.join(self.client.read_body(pending.call, response))
         finally:
             close_response(response)
         status, headers = read_head(response)
@@ -89,14 +87,9 @@
         status, headers = read_head(response)
         pending.link.send(frames.Head(attempt, status, headers))
         offset = 0
-        if pending.call.stream:
-            for event in read_events(response):
-                self.send_chunk(pending, offset, event)
-                offset += len(event)
-        else:
-            body = read_whole(response)
-            self.send_chunk(pending, 0, body)
-            offset = len(body)
+        for part in self.client.read_body(pending.call, response):
+            self.send_chunk(pending, offset, part)
+            offset += len(part)
         pending.link.send(frames.End(attempt, offset))
 
     def send_chunk(
