Enforce bars that a peer sets, and let operators list and lift them

Found by the tests of this commit: a bar taken over from a peer was checked before each send, but did not end the requests that waited or were unanswered at that entry, and cancelling one raised the wrong error.

comfreyarch bars lists the bars of entries by the address of their metrics, and lifts one at all entries; the gauge comfreyarch_bars counts them. The refusal names the trait to the caller and in the log.

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/access.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/access.py
@@ -58,7 +58,17 @@
 
     :returns: the page, with None as content if it could not be read.
     """
-    host, port = split_address(instance.operators)
+    _status, page = fetch_json(instance.operators, 'GET', path)
+    return NodePage(instance, page)
+
+
+def fetch_json(address: str, method: str, path: str) -> tuple[int, Any]:
+    """Fetch a JSON document from a node.
+
+    :param address: ``host:port``.
+    :returns: status and document, 0 and None if there is none.
+    """
+    host, port = split_address(address)
     http = HTTPClient(
         host,
         port,
@@ -66,13 +76,13 @@
         network_timeout=REQUEST_TIMEOUT_S,
     )
     try:
-        response = http.get(path)
+        response = http.request(method, path)
         page = json.loads(bytes(response.read()))
     except (OSError, HTTPParseError, ValueError):
-        return NodePage(instance, None)
+        return 0, None
     finally:
         http.close()
-    return NodePage(instance, page)
+    return int(response.status_code), page
 
 
 def read_pages(
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -223,8 +223,6 @@
         """Bar the traits that reach the limit, the best explanation first."""
         notices: list[Notice] = []
         while trait := self.find_culprit():
-            crashes = self.records.with_trait(trait)
-            notices.append(TraitBarred(trait, len(crashes)))
             notices.extend(
                 self.add_bar(trait, make_trait_bar(now, now + BAR_S))
             )
@@ -276,14 +274,16 @@
     def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
         """Add a bar and attribute the crashes with the trait to it.
 
-        :returns: the notices of bars that it makes needless.
+        :returns: its notice, and those of bars that it makes needless.
         """
         self.bars[trait] = trait_bar
         self.scores.raise_to(trait, BAR_SCORE)
         if len(self.bars) > MAX_BARS:
             self.bars.pop(next(iter(self.bars)))
         self.explain(self.records.crashes, trait)
-        return self.lift_weaker(trait, trait_bar.since)
+        crashes = len(self.records.with_trait(trait))
+        weaker = self.lift_weaker(trait, trait_bar.since)
+        return [TraitBarred(trait, crashes), *weaker]
 
     def explain(self, crashes: list[Crash], culprit: str) -> None:
         """Attribute those of the crashes that have a barred trait to it.
@@ -319,8 +319,8 @@
     def adopt_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
         """Take over a bar of a peer, unless this entry knows better.
 
-        :returns: the notice that clears it, if it was lifted since or the
-            trait is answered here.
+        :returns: the notice of the bar, or the one that clears it if it was
+            lifted since or the trait is answered here.
         """
         known = self.bars.get(trait)
         if known is not None:
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
@@ -95,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TraitBarred:
-    """Request that peers are told of a new bar.
+    """Request that peers are told of a new bar, and that it is enforced.
 
     :param crashes: number of crashes on record that it explains.
     """
--- /dev/null
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/barspage.py
@@ -0,0 +1,95 @@
+"""Serve the bars of an entry to operators, who may lift them."""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs
+
+from comfreyarch_daemon.monitoringpages import (
+    NOT_FOUND_STATUS,
+    OK_STATUS,
+    MetricsPage,
+)
+from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
+from comfreyarch_daemon.statuslines import StartResponse, status_line
+from comfreyarch_daemon.upstreamcalls import boot_time
+
+BARS_PATH = '/bars'
+LIFT_PATH = '/bars/lift'
+METHOD_NOT_ALLOWED_STATUS = 405
+
+
+class OperatorPages:
+    """Serve the bars, and the metrics at all other paths.
+
+    ``GET /bars`` lists the bars; ``POST /bars/lift?trait=…`` lifts one at all
+    entries.
+    """
+
+    __slots__ = ('crash_guard', 'metrics_page')
+
+    def __init__(
+        self, metrics_page: MetricsPage, crash_guard: SharedCrashGuard
+    ) -> None:
+        """Serve the given page and the bars of the given guard."""
+        self.metrics_page = metrics_page
+        self.crash_guard = crash_guard
+
+    def __call__(
+        self,
+        environ: dict[str, Any],
+        start_response: StartResponse,
+    ) -> list[bytes]:
+        """Answer an operator's request.
+
+        :returns: the page.
+        """
+        path = environ['PATH_INFO']
+        if path == BARS_PATH:
+            return send_json(start_response, OK_STATUS, self.list_bars())
+        if path != LIFT_PATH:
+            return self.metrics_page(environ, start_response)
+        if environ['REQUEST_METHOD'] != 'POST':
+            refusal = {'error': 'send POST to lift a bar'}
+            return send_json(start_response, METHOD_NOT_ALLOWED_STATUS, refusal)
+        query = parse_qs(environ.get('QUERY_STRING', ''))
+        trait = query.get('trait', [''])[0]
+        if self.crash_guard.lift(trait):
+            return send_json(start_response, OK_STATUS, {'lifted': trait})
+        refusal = {'error': f'no bar on {trait!r}; GET {BARS_PATH} lists them'}
+        return send_json(start_response, NOT_FOUND_STATUS, refusal)
+
+    def list_bars(self) -> list[dict[str, Any]]:
+        """List the bars.
+
+        :returns: trait, seconds since the begin and to the end, and number of
+            crashes on record of each.
+        """
+        now = boot_time()
+        guard = self.crash_guard.guard
+        return [
+            {
+                'trait': trait,
+                'age_s': round(now - known.since, 1),
+                'left_s': round(max(0, known.until - now), 1),
+                'crashes': len(guard.records.with_trait(trait)),
+            }
+            for trait, known in guard.bars.items()
+        ]
+
+
+def send_json(
+    start_response: StartResponse, status: int, document: Any
+) -> list[bytes]:
+    """Start a JSON response.
+
+    :returns: its body.
+    """
+    page = json.dumps(document).encode()
+    start_response(
+        status_line(status),
+        [
+            ('Content-Type', 'application/json'),
+            ('Content-Length', str(len(page))),
+        ],
+    )
+    return [page]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
@@ -162,7 +162,7 @@
             refuted = [
                 [LIFTED, notice.trait]
                 for notice in notices
-                if isinstance(notice, TraitCleared)
+                if isinstance(notice, TraitCleared) and notice.trait == trait
             ]
             self.send_messages(refuted, [address])
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from comfreyarch_core.fleetload import EntryLoad
+from comfreyarch_daemon.barspage import OperatorPages
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.directentry import DirectEntry
 from comfreyarch_daemon.eventlog import EventLog
@@ -112,7 +113,13 @@
                 settings.readiness,
                 ReadinessPage(adapter.readiness_path, self.entry.is_ready),
             ),
-            make_page_server(settings.metrics, MetricsPage(self.metrics)),
+            make_page_server(
+                settings.metrics,
+                OperatorPages(
+                    MetricsPage(self.metrics),
+                    self.entry.forwarder.crash_guard,
+                ),
+            ),
         ]
         dispatcher = self.entry.dispatcher
         self.peer_directory = adapter.open_peers(settings)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
@@ -45,6 +45,7 @@
         self.crash_guard.record_send(self.call.traits)
         self.answering_since = None
         self.has_survived = False
+        self.barred_trait = ''
 
     def record_event(self) -> None:
         """Record that events of a stream arrived."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -511,7 +511,7 @@
         name = self.last_upstream
         self.tracker.record_failure(name, failure)
         if self.crashes.barred_trait:
-            raise RequestBarred(self.crashes.barred_trait)
+            self.end_barred(RequestBarred(self.crashes.barred_trait))
         answering_s = self.crashes.answering_s()
         self.record_upstream_failure(name, error, now)
         self.abort_exchange()
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -188,6 +188,13 @@
     assert not guard.bars
 
 
+def test_a_bar_that_is_taken_over_is_enforced():
+    guard = make_crash_guard()
+    (notice,) = guard.handle_peer(PeerBar(BAD, 0, BAR_S), 1)
+    assert notice == TraitBarred(BAD, 0)
+    assert not guard.handle_peer(PeerBar(BAD, 1, BAR_S), 2)
+
+
 def test_records_are_bounded_and_a_flood_of_parts_clears_no_suspect():
     guard = guard_with_baseline(COMMON)
     for number in range(BAR_SCORE - 1):
