Judge a common part by the answers of its own service

Requests were refused for a second, until a peer that knew better had the bar lifted.

Shares of traits are kept by service, so answers of other services say nothing.

Its links refuse connections as long as their target does.

--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -14,8 +14,6 @@
 barred trait explains no longer count for other traits.
 """
 
-import math
-from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from comfreyarch_core.crashmessages import (
@@ -45,25 +43,24 @@
 from comfreyarch_core.traitbars import (
     BAR_S,
     TraitBar,
-    is_probed,
+    TraitBars,
     make_trait_bar,
-    may_probe,
+    make_trait_bars,
 )
 from comfreyarch_core.traitscores import TraitScores, make_trait_scores
+from comfreyarch_core.traitshares import TraitShares, make_trait_shares
 
 # Net number of crashes at which a trait is barred.
 BAR_SCORE = 3
-# Answers needed before parts are barred: they tell which parts are common.
+# Answers of a service needed before parts are barred: they tell which are common.
 MIN_ANSWERS = 5
-# Share in the recent answers above which a part is not barred, since a bar would
+# Share in the recent answers of a service above which a part is not barred, since a bar would
 # refuse most sound requests.
 MAX_SHARE = 0.3
 # Net number up to which a bar of a peer is not taken over.
 SOUND_SCORE = -3
 # Limit on the traits of one crash.
 MAX_CRASH_TRAITS = 256
-# Limit on the bars kept; the oldest is dropped first.
-MAX_BARS = 200
 
 PART = 'part:'
 REQUEST = 'request:'
@@ -71,15 +68,12 @@
 
 @dataclass(slots=True)
 class CrashGuard:
-    """Attribute the crashes that all entries observe to traits.
-
-    :param lifted: time at which a bar was last lifted, by trait.
-    """
+    """Attribute the crashes that all entries observe to traits."""
 
     records: CrashRecords = field(default_factory=make_crash_records)
     scores: TraitScores = field(default_factory=make_trait_scores)
-    bars: dict[str, TraitBar] = field(default_factory=dict)
-    lifted: dict[str, float] = field(default_factory=dict)
+    shares: TraitShares = field(default_factory=make_trait_shares)
+    bars: TraitBars = field(default_factory=make_trait_bars)
 
     def handle(self, message: Message, now: float) -> list[Notice]:
         """Process a message.
@@ -88,10 +82,11 @@
         :returns: what to tell the other entries.
         """
         match message:
-            case RequestAnswered(traits):
-                return self.record_answer(traits, now)
-            case ConnectionBroken(traits, upstream):
-                self.records.add_break(Break(traits, upstream, now))
+            case RequestAnswered(service, traits):
+                return self.record_answer(service, traits, now)
+            case ConnectionBroken(service, traits, upstream):
+                broken = Break(service, traits, upstream, now)
+                self.records.add_break(broken)
             case UpstreamDied(upstream):
                 return self.confirm_crash(upstream, now)
             case UpstreamAlive(upstream):
@@ -116,8 +111,9 @@
             has to lift.
         """
         match message:
-            case PeerCrash(upstream, traits, age_s):
-                self.record_crash(upstream, traits, now - age_s)
+            case PeerCrash(service, upstream, traits, age_s):
+                crash = self.records.find_crash(service, upstream, now - age_s)
+                self.record_crash(crash, traits)
                 return self.judge(now)
             case PeerAnswer(trait):
                 return self.count_answer(trait, now)
@@ -136,39 +132,18 @@
         :returns: True nearly always; the digests of requests are not needed.
         """
         records = self.records
-        return not (records.breaks or records.crashes or self.bars)
-
-    def barred_trait(self, traits: Iterable[str], now: float) -> str:
-        """Find a trait due to which a request must not be sent.
-
-        :returns: the trait, empty if the request may be sent.
-        """
-        return next(
-            (
-                trait
-                for trait in traits
-                if trait in self.bars and not may_probe(self.bars[trait], now)
-            ),
-            '',
-        )
-
-    def record_send(self, traits: Iterable[str], now: float) -> None:
-        """Record that a request is sent; with a barred trait it is a probe."""
-        for trait in traits:
-            trait_bar = self.bars.get(trait)
-            if trait_bar is not None:
-                trait_bar.probed_at = now
+        return not (records.breaks or records.crashes or self.bars.by_trait)
 
     def record_answer(
-        self, traits: tuple[str, ...], now: float
+        self, service: str, traits: tuple[str, ...], now: float
     ) -> list[Notice]:
         """Count an answer against the traits of its request."""
         counted = [
             trait
             for trait in traits
-            if trait.startswith(PART) or trait in self.scores.counts
+            if trait.startswith(PART) or trait in self.scores.by_trait
         ]
-        self.scores.record_answer(counted)
+        self.shares.record_answer(service, counted)
         notices: list[Notice] = []
         for trait in counted:
             if self.scores.net(trait) > 0:
@@ -177,47 +152,40 @@
         return notices
 
     def count_answer(self, trait: str, now: float) -> list[Notice]:
-        """Count an answer against a trait; it may lift a trait_bar."""
+        """Count an answer against a trait; it may lift a bar."""
         self.scores.add(trait, -1)
-        trait_bar = self.bars.get(trait)
-        if trait_bar is None:
-            return []
         is_refuted = self.scores.net(trait) <= 0
-        return (
-            self.lift(trait, now) if is_refuted or is_probed(trait_bar) else []
-        )
+        if is_refuted or self.bars.is_probed(trait):
+            return self.lift(trait, now)
+        return []
 
     def confirm_crash(self, upstream: str, now: float) -> list[Notice]:
         """Record a crash if connections to the dead upstream broke recently."""
         lost = [
-            broken.traits
+            broken
             for broken in self.records.take_breaks(upstream)
             if now - broken.at <= EVIDENCE_S
         ]
-        for lost_traits in lost:
-            self.record_crash(upstream, lost_traits, now)
+        for broken in lost:
+            crash = self.records.find_crash(broken.service, upstream, now)
+            self.record_crash(crash, broken.traits)
         observed: list[Notice] = [
-            CrashObserved(upstream, traits) for traits in lost
+            CrashObserved(each.service, upstream, each.traits) for each in lost
         ]
         return [*observed, *self.judge(now)]
 
-    def record_crash(
-        self, upstream: str, traits: tuple[str, ...], at: float
-    ) -> None:
+    def record_crash(self, crash: Crash, traits: tuple[str, ...]) -> None:
         """Count a crash once for each trait, also if it is reported again."""
-        crash = self.records.find_crash(upstream, at)
-        self.expire(at)
+        self.expire(crash.at)
         for position, trait in enumerate(traits):
             if trait in crash.traits or len(crash.traits) >= MAX_CRASH_TRAITS:
                 continue
             crash.traits[trait] = position
             if not crash.explained:
                 self.scores.add(trait, 1)
-        for trait in traits:
-            trait_bar = self.bars.get(trait)
-            if trait_bar is not None:
-                trait_bar.until = max(trait_bar.until, at + BAR_S)
-                self.explain([crash], trait)
+        for barred in traits:
+            if self.bars.extend(barred, crash.at + BAR_S):
+                self.explain([crash], barred)
 
     def judge(self, now: float) -> list[Notice]:
         """Bar the traits that reach the limit, the best explanation first."""
@@ -239,7 +207,7 @@
             for crash in self.records.crashes
             if not crash.explained
             for trait, position in crash.traits.items()
-            if self.is_culprit(trait)
+            if self.is_culprit(trait, crash.service)
         }
         return max(
             position_by_trait,
@@ -251,15 +219,15 @@
             default='',
         )
 
-    def is_culprit(self, trait: str) -> bool:
+    def is_culprit(self, trait: str, service: str) -> bool:
         """Check whether a trait is to be barred."""
         return (
             self.scores.net(trait) >= BAR_SCORE
-            and trait not in self.bars
-            and self.may_bar(trait)
+            and not self.bars.has(trait)
+            and self.may_bar(trait, service)
         )
 
-    def may_bar(self, trait: str) -> bool:
+    def may_bar(self, trait: str, service: str) -> bool:
         """Check that a bar would not refuse most sound requests.
 
         :returns: False for a common part, or if it is unknown which are common.
@@ -267,8 +235,8 @@
         if trait.startswith(REQUEST):
             return True
         return (
-            self.scores.answers >= MIN_ANSWERS
-            and self.scores.share(trait) <= MAX_SHARE
+            self.shares.answers(service) >= MIN_ANSWERS
+            and self.shares.share(service, trait) <= MAX_SHARE
         )
 
     def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
@@ -276,10 +244,8 @@
 
         :returns: its notice, and those of bars that it makes needless.
         """
-        self.bars[trait] = trait_bar
+        self.bars.add(trait, trait_bar)
         self.scores.raise_to(trait, BAR_SCORE)
-        if len(self.bars) > MAX_BARS:
-            self.bars.pop(next(iter(self.bars)))
         self.explain(self.records.crashes, trait)
         crashes = len(self.records.with_trait(trait))
         weaker = self.lift_weaker(trait, trait_bar.since)
@@ -297,7 +263,7 @@
             if crash.explained or culprit not in crash.traits:
                 continue
             crash.explained = True
-            for trait in crash.traits.keys() - self.bars.keys():
+            for trait in crash.traits.keys() - self.bars.by_trait.keys():
                 if self.scores.net(trait) >= limit:
                     tied.add(trait)
                 else:
@@ -308,7 +274,7 @@
     def lift_weaker(self, culprit: str, now: float) -> list[Notice]:
         """Lift the bars whose crashes are all explained by a new one."""
         notices: list[Notice] = []
-        for trait in self.bars.keys() - {culprit}:
+        for trait in self.bars.by_trait.keys() - {culprit}:
             with_trait = self.records.with_trait(trait)
             if with_trait and all(
                 culprit in crash.traits for crash in with_trait
@@ -322,25 +288,19 @@
         :returns: the notice of the bar, or the one that clears it if it was
             lifted since or the trait is answered here.
         """
-        known = self.bars.get(trait)
-        if known is not None:
-            known.until = max(known.until, trait_bar.until)
+        if self.bars.extend(trait, trait_bar.until):
             return []
-        is_lifted = self.lifted.get(trait, -math.inf) >= trait_bar.since
+        is_lifted = self.bars.was_lifted_since(trait, trait_bar.since)
         is_sound = self.scores.net(trait) <= SOUND_SCORE
-        is_common = self.scores.share(trait) > MAX_SHARE
+        is_common = self.shares.highest_share(trait) > MAX_SHARE
         if is_lifted or is_sound or is_common:
             return [TraitCleared(trait)]
         return self.add_bar(trait, trait_bar)
 
     def lift(self, trait: str, now: float) -> list[Notice]:
         """Lift a bar; only later crashes count for the trait again."""
-        if self.bars.pop(trait, None) is None:
+        if not self.bars.lift(trait, now):
             return []
-        self.lifted.pop(trait, None)
-        self.lifted[trait] = now
-        if len(self.lifted) > MAX_BARS:
-            self.lifted.pop(next(iter(self.lifted)))
         self.scores.lower_to(trait, 0)
         return [TraitCleared(trait)]
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
@@ -7,17 +7,20 @@
 class ConnectionBroken:
     """Report that a connection broke before the upstream began to answer.
 
+    :param service: service of the upstream.
     :param traits: traits of the request, the most general one first.
     """
 
+    service: str
     traits: tuple[str, ...]
     upstream: str
 
 
 @dataclass(frozen=True, slots=True)
 class RequestAnswered:
-    """Report that an upstream survived the begin of an answer."""
+    """Report that an upstream of a service survived the begin of an answer."""
 
+    service: str
     traits: tuple[str, ...]
 
 
@@ -39,10 +42,12 @@
 class PeerCrash:
     """Report a crash that another entry observed.
 
+    :param service: service of the upstream.
     :param traits: traits of the requests that were lost there.
     :param age_s: seconds since the crash.
     """
 
+    service: str
     upstream: str
     traits: tuple[str, ...]
     age_s: float
@@ -79,9 +84,11 @@
 class CrashObserved:
     """Request that peers are told of a crash.
 
+    :param service: service of the upstream.
     :param traits: traits of this entry's requests that were lost there.
     """
 
+    service: str
     upstream: str
     traits: tuple[str, ...]
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
@@ -20,6 +20,7 @@
 class Break:
     """Hold a broken connection until its upstream proves dead or alive."""
 
+    service: str
     traits: tuple[str, ...]
     upstream: str
     at: float
@@ -34,6 +35,7 @@
     :param explained: whether one of them is barred.
     """
 
+    service: str
     upstream: str
     at: float
     traits: dict[str, int] = field(default_factory=dict)
@@ -64,12 +66,12 @@
             self.breaks.remove(broken)
         return taken
 
-    def find_crash(self, upstream: str, at: float) -> Crash:
+    def find_crash(self, service: str, upstream: str, at: float) -> Crash:
         """Return the record of a crash, which is created if there is none."""
         for known in self.crashes:
             if known.upstream == upstream and abs(known.at - at) < SAME_CRASH_S:
                 return known
-        crash = Crash(upstream, at)
+        crash = Crash(service, upstream, at)
         self.crashes.append(crash)
         return crash
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/barspage.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/barspage.py
@@ -73,7 +73,7 @@
                 'left_s': round(max(0, known.until - now), 1),
                 'crashes': len(guard.records.with_trait(trait)),
             }
-            for trait, known in guard.bars.items()
+            for trait, known in guard.bars.by_trait.items()
         ]
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
@@ -97,8 +97,8 @@
         :returns: the message.
         """
         match notice:
-            case CrashObserved(upstream, traits):
-                return [CRASH, upstream, list(traits), 0]
+            case CrashObserved(service, upstream, traits):
+                return [CRASH, service, upstream, list(traits), 0]
             case SuspectAnswered(trait):
                 return [SUSPECT_ANSWERED, trait]
             case TraitBarred(trait):
@@ -117,8 +117,8 @@
             for crash in self.guard.records.crashes[-MAX_RESENT:]
             if now - crash.at < RESEND_AGE_S
         ]
-        if self.guard.bars:
-            messages.append(self.encode_bars(self.guard.bars))
+        if self.guard.bars.by_trait:
+            messages.append(self.encode_bars(self.guard.bars.by_trait))
         return messages
 
     def encode_bars(self, traits: Iterable[str]) -> list[Any]:
@@ -127,7 +127,9 @@
         :returns: the message.
         """
         now = boot_time()
-        known = [(trait, self.guard.bars.get(trait)) for trait in traits]
+        known = [
+            (trait, self.guard.bars.by_trait.get(trait)) for trait in traits
+        ]
         return [
             BARS,
             [
@@ -142,21 +144,24 @@
 
         :raises ValueError: if the message is malformed.
         """
-        _tag, upstream, traits, age_s = message
+        _tag, service, upstream, traits, age_s = message
         if len(traits) > MAX_TRAITS:
             raise ValueError(f'crash with {len(traits)} traits is too large')
-        checked = tuple(check_trait(trait) for trait in traits)
-        self.apply(PeerCrash(check_trait(upstream), checked, check_s(age_s)))
+        checked = tuple(check_name(trait) for trait in traits)
+        crash = PeerCrash(
+            check_name(service), check_name(upstream), checked, check_s(age_s)
+        )
+        self.apply(crash)
 
     def receive_answer(self, message: list[Any], _address: str) -> None:
         """Handle an answer to a suspect that a peer received."""
-        self.apply(PeerAnswer(check_trait(message[1])))
+        self.apply(PeerAnswer(check_name(message[1])))
 
     def receive_bars(self, message: list[Any], address: str) -> None:
         """Handle the bars of a peer; it is told those that it has to lift."""
         for trait, age_s, left_s in message[1]:
             peer_bar = PeerBar(
-                check_trait(trait), check_s(age_s), check_s(left_s)
+                check_name(trait), check_s(age_s), check_s(left_s)
             )
             notices = self.apply(peer_bar)
             refuted = [
@@ -168,7 +173,7 @@
 
     def receive_lift(self, message: list[Any], _address: str) -> None:
         """Handle the end of a bar at a peer."""
-        self.apply(Lift(check_trait(message[1])))
+        self.apply(Lift(check_name(message[1])))
 
     def receive_request(self, _message: list[Any], address: str) -> None:
         """Send a peer that has started all evidence."""
@@ -191,17 +196,18 @@
     :returns: the message.
     """
     traits = sorted(crash.traits, key=lambda trait: crash.traits[trait])
-    return [CRASH, crash.upstream, traits, max(0, now - crash.at)]
+    age_s = max(0, now - crash.at)
+    return [CRASH, crash.service, crash.upstream, traits, age_s]
 
 
-def check_trait(text: object) -> str:
-    """Check a trait, or the name of an upstream, that a peer sent.
+def check_name(text: object) -> str:
+    """Check a trait, or the name of a service or upstream, that a peer sent.
 
     :returns: the text.
     :raises ValueError: if it is no text, or too long.
     """
     if not isinstance(text, str) or len(text) > MAX_TRAIT_LENGTH:
-        raise ValueError('trait or upstream is no short text')
+        raise ValueError('trait or name is no short text')
     return text
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
@@ -62,13 +62,13 @@
         self.has_survived = True
         is_idle = self.crash_guard.is_idle
         traits = self.call.part_traits() if is_idle else self.call.traits()
-        self.crash_guard.record_answer(traits)
+        self.crash_guard.record_answer(self.call.service, traits)
 
-    def record_break(self, upstream: str, address: str) -> None:
+    def record_break(self, upstream: UpstreamEntry) -> None:
         """Report a broken connection, unless the upstream survived the send."""
         if not self.has_survived:
             self.crash_guard.record_broken_connection(
-                self.call.traits(), upstream, address
+                self.call.traits(), upstream
             )
 
     def check_end(self, answer: Answer, upstream: UpstreamEntry) -> None:
@@ -78,7 +78,7 @@
         """
         if not answer.ended_by_close:
             return
-        if not self.crash_guard.check_alive(upstream.name, upstream.address):
+        if not self.crash_guard.check_alive(upstream):
             raise ExchangeBroken(f'{upstream.name} ended with its answer')
 
     def cancel(self, trait: str) -> bool:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -566,9 +566,7 @@
         """Report that the connection of the send in progress broke."""
         exchange = self.exchange
         if exchange is not None:
-            self.crashes.record_break(
-                exchange.upstream, exchange.view.entry.address
-            )
+            self.crashes.record_break(exchange.view.entry)
 
     def end_barred(self, error: RequestBarred) -> None:
         """End a request that must not be sent, or not again.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
@@ -16,6 +16,7 @@
     UpstreamAlive,
     UpstreamDied,
 )
+from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_daemon.crashgossip import CrashGossip, make_crash_gossip
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
@@ -72,30 +73,32 @@
         :param traits: computes its traits; called only if there are bars.
         :raises RequestBarred: if one of them is barred.
         """
-        if not self.guard.bars:
+        if not self.guard.bars.by_trait:
             return
-        trait = self.guard.barred_trait(traits(), boot_time())
+        trait = self.guard.bars.barred_trait(traits(), boot_time())
         if trait:
             raise RequestBarred(trait)
 
     def record_send(self, traits: Callable[[], Iterable[str]]) -> None:
         """Record that a request is sent."""
-        if self.guard.bars:
-            self.guard.record_send(traits(), boot_time())
+        if self.guard.bars.by_trait:
+            self.guard.bars.record_send(traits(), boot_time())
 
     def record_broken_connection(
-        self, traits: tuple[str, ...], upstream: str, address: str
+        self, traits: tuple[str, ...], upstream: UpstreamEntry
     ) -> None:
         """Record that a connection broke before the answer, and check why.
 
         Returns once it is known whether the upstream is dead.
         """
-        self.handle_event(ConnectionBroken(traits, upstream))
-        self.check_alive(upstream, address)
+        self.handle_event(
+            ConnectionBroken(upstream.service, traits, upstream.name)
+        )
+        self.check_alive(upstream)
 
-    def record_answer(self, traits: tuple[str, ...]) -> None:
+    def record_answer(self, service: str, traits: tuple[str, ...]) -> None:
         """Record that an upstream survived the begin of an answer."""
-        self.handle_event(RequestAnswered(traits))
+        self.handle_event(RequestAnswered(service, traits))
 
     def record_upstream_death(self, upstream: str) -> None:
         """Record that an upstream refuses connections or is unlisted."""
@@ -107,19 +110,21 @@
 
         :returns: False if the trait is not barred.
         """
-        is_barred = trait in self.guard.bars
+        is_barred = self.guard.bars.has(trait)
         self.handle_event(Lift(trait))
         return is_barred
 
-    def check_alive(self, upstream: str, address: str) -> bool:
+    def check_alive(self, upstream: UpstreamEntry) -> bool:
         """Check whether an upstream accepts connections, once at a time.
 
         :returns: False only if it refuses them.
         """
-        check = self.checks.get(upstream)
+        check = self.checks.get(upstream.name)
         if check is None:
-            check = gevent.spawn(self.run_check, upstream, address)
-            self.checks[upstream] = check
+            check = gevent.spawn(
+                self.run_check, upstream.name, upstream.address
+            )
+            self.checks[upstream.name] = check
         is_alive: bool = check.get()
         return is_alive
 
@@ -167,7 +172,7 @@
                     self.on_barred(trait)
                 case TraitCleared(trait):
                     self.log.write('trait_cleared', trait=trait)
-        self.metrics.gauge('bars', len(self.guard.bars))
+        self.metrics.gauge('bars', len(self.guard.bars.by_trait))
 
 
 def ignore(_trait: str) -> None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -27,6 +27,10 @@
 # Ratio of requests whose caller disconnects early.
 ABANDON_RATIO = 0.05
 EVENT_COUNT_RANGE = (5, 25)
+# Ratio of requests with the part that crashes servers, while there is one.
+CRASHING_RATIO = 0.1
+# Number of different parts that prompts share, besides the first.
+SHARED_PARTS = 30
 STEP_S = 0.5
 # Failed probes in a row after which an entry counts as not ready.
 UNREADY_AFTER_FAILURES = 2
@@ -81,6 +85,7 @@
     read_all: bool = False
     left: bool = False
     error: str = ''
+    crashing_part: str = ''
 
 
 class ReadinessProber:
@@ -131,6 +136,8 @@
 
     :param keys: API key → team, for all keys that callers use.
     :param pause_s: mean pause of a caller between requests.
+    :param crashing_part: part of a share of the prompts that crashes servers,
+        empty for none.
     """
 
     def __init__(self, fleet: Fleet, keys: dict[str, str]) -> None:
@@ -140,6 +147,7 @@
         self.keys = keys
         self.records: list[AttemptRecord] = []
         self.pause_s = 0.05
+        self.crashing_part = ''
         self.stopped = False
         self.workers: list[gevent.Greenlet] = []
 
@@ -204,6 +212,9 @@
         }
         if profile.streams:
             headers['X-Token-Counts'] = f'100,{record.last}'
+        if random.random() < CRASHING_RATIO:
+            record.crashing_part = self.crashing_part
+        headers['X-Prompt-Prefix'] = make_prompt_prefix(record)
         timeout_s = profile.deadline_s + DEADLINE_MARGIN_S
         if random.random() < ABANDON_RATIO:
             timeout_s = random.uniform(0, 0.3)
@@ -251,6 +262,17 @@
         record.whole = True
 
 
+def make_prompt_prefix(record: AttemptRecord) -> str:
+    """List the parts of a prompt: a common, a shared and an own one.
+
+    :returns: the value of the header; a crashing part takes the shared one's
+        place.
+    """
+    shared = record.crashing_part or f's{random.randrange(SHARED_PARTS)}'
+    common = record.sheet.path.strip('/')
+    return f'{common}:40,{shared}:40,{record.attempt}:100'
+
+
 def connect(fleet: Fleet, entry: str) -> socket.socket | None:
     """Open a connection to an entry through its link.
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,10 @@
 TOLERATED_IN_HOLD = 2
 # From the announcement of a planned stop until the process may be killed.
 GRACE_PERIOD_S = 8.0
+# Crashes by one part of prompts after which it is known, and the number of later
+# requests with it that is tolerated.
+KNOWN_CRASHES = 5
+TOLERATED_WITH_CRASHING_PART = 3
 # Number of requests in a run that may exceed their route's attempts.
 TOLERATED_EXCESS = 3
 # Bounds of the retry budget of each service, which all entries share.
@@ -146,6 +150,7 @@
         sent_to_draining,
         sent_after_announcement,
         sent_within_hold,
+        sent_with_crashing_part,
     )
     guarantees = (*untimed, *time_bound) if timed else untimed
     return [
@@ -452,3 +457,36 @@
         ):
             violations.append(f'{len(later)} requests to {server} by {entry}')
     return violations
+
+
+def sent_with_crashing_part(evidence: Evidence) -> list[str]:
+    """Find parts that crashed servers and reached more of them later."""
+    sent = {record.attempt: record for record in evidence.records}
+    crashes: dict[str, list[float]] = defaultdict(list)
+    arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for run in evidence.runs:
+        if 'crashed' in run:
+            crashes[run['part']].append(run['at'])
+        record = sent.get(run.get('attempt') or run.get('rejected') or '')
+        if record is not None and record.crashing_part:
+            arrived = run.get('arrived', run['at'])
+            arrivals[record.crashing_part].append((arrived, record.entry))
+    violations = []
+    for part, crashed_at in crashes.items():
+        if len(crashed_at) < KNOWN_CRASHES:
+            continue
+        known_at = sorted(crashed_at)[KNOWN_CRASHES - 1]
+        later = [
+            arrived
+            for arrived, entry in arrivals[part]
+            if arrived > known_at + CONTACT_RECOVERY_S
+            and evidence.is_unaffected(
+                entry, arrived - CONTACT_RECOVERY_S, arrived
+            )
+        ]
+        if len(later) > TOLERATED_WITH_CRASHING_PART:
+            violations.append(
+                f'{part} crashed {len(crashed_at)} servers, and {len(later)} '
+                f'requests with it were sent later'
+            )
+    return violations
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -11,6 +11,7 @@
 
 from soak.callers import HOST, CallerPool
 from soak.fleet import GRACE_PERIOD_S, STORE_LINK, Fleet
+from soak.server import CRASHING_PART
 
 # Faults that are planned work; all others are disruptions.
 PLANNED_WORK = frozenset(
@@ -24,6 +25,8 @@
 ANSWER_FAULTS = ('errors', 'lost', 'hang', 'rubbish', 'cut', 'extra')
 STORE_FAULTS = ('busy', 'silent', 'slow', 'lost', 'late', 'forget')
 LINK_MODES = ('silent', 'deaf', 'mute', 'delay', 'refuse')
+# Callers send requests with a crashing part at least for this time.
+CRASHING_PART_S = 8.0
 # Mean pause of a caller between requests during a burst.
 BURST_PAUSE_S = 0.01
 # A program can't handle SIGHUP until its interpreter runs the first line; a
@@ -103,6 +106,7 @@
             'reform': self.reform_group,
             'late-orders': self.delay_orders,
             'burst': self.raise_request_rate,
+            'crashing-part': self.send_crashing_part,
         }
 
     def run(self, planned_s: float, mixed_s: float, gap_s: float) -> None:
@@ -320,6 +324,16 @@
             self.fleet.write_row('op', 'config', self.last_configuration)
         self.publish_storm(2 * MAX_FAULT_S)
 
+    def send_crashing_part(self, duration_s: float) -> None:
+        """Let callers send different requests with a part that crashes servers."""
+        part = f'{CRASHING_PART}{self.rng.getrandbits(32):08x}'
+        lasting_s = duration_s + CRASHING_PART_S
+        self.record_fault('crashing-part', part, lasting_s)
+        self.callers.crashing_part = part
+        gevent.sleep(lasting_s)
+        if self.callers.crashing_part == part:
+            self.callers.crashing_part = ''
+
     def list_groups(self) -> list[str]:
         """Return the names of the rank groups."""
         return [
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -18,6 +18,8 @@
 import gevent
 from geventhttpclient import HTTPClient
 
+from soak.server import CRASHED_STATUS
+
 ZONES = ('za', 'zb', 'zc')
 STORE = ('127.0.2.1', 8000)
 STORE_LINK = ('127.0.2.2', 8000)
@@ -117,8 +119,8 @@
             gevent.sleep(0.05)
             if self.is_running() or self.process is None:
                 continue
-            if not self.stopping:
-                code = self.process.returncode
+            code = self.process.returncode
+            if not self.stopping and code != CRASHED_STATUS:
                 self.unexpected_exits.append(f'{self.name}: exit {code}')
             self.extend_disturbance(RESTART_DELAY_S)
             gevent.sleep(RESTART_DELAY_S)
--- a/soak/link.py
+++ b/soak/link.py
@@ -23,6 +23,8 @@
 RESET_LINGER = struct.pack('ii', 1, 0)
 MAX_DELAY_S = 0.2
 CONNECT_TIMEOUT_S = 2.0
+# Pause between checks whether a target accepts connections again.
+TARGET_CHECK_S = 0.02
 # Directions that a mode blocks: 0 to the target, 1 to the caller.
 BLOCKED_DIRECTIONS = {'silent': (0, 1), 'deaf': (0,), 'mute': (1,)}
 
@@ -44,13 +46,50 @@
 class Link:
     """Forward the connections to one address.
 
+    Like the target, it refuses connections once nothing listens there.
+
     :param mode: pass, delay, refuse, or a key of ``BLOCKED_DIRECTIONS``.
+    :param listener: accepts connections, None while the target refuses them.
     """
 
+    listen: tuple[str, int]
     target: tuple[str, int]
     mode: str = 'pass'
     changed: Event = field(default_factory=Event)
     connections: set[ForwardedConnection] = field(default_factory=set)
+    listener: Any = None
+
+    def start(self) -> None:
+        """Start to accept connections."""
+        self.listener = StreamServer(self.listen, self.serve)
+        self.listener.start()
+
+    def refuse_if_target_does(self) -> None:
+        """Refuse connections as long as the target does."""
+        if self.target_listens() or self.listener is None:
+            return
+        listener, self.listener = self.listener, None
+        listener.close()
+        gevent.spawn(self.restart)
+
+    def restart(self) -> None:
+        """Accept connections again once the target does."""
+        while not self.target_listens():
+            gevent.sleep(TARGET_CHECK_S)
+        self.start()
+
+    def target_listens(self) -> bool:
+        """Check whether the target accepts connections.
+
+        :returns: False only if it refuses them.
+        """
+        try:
+            socket.create_connection(self.target, CONNECT_TIMEOUT_S).close()
+        except ConnectionRefusedError:
+            return False
+        except OSError:
+            return True
+        return True
 
     def serve(self, caller: socket.socket, _address: object) -> None:
         """Forward one connection until both directions end."""
@@ -61,6 +100,7 @@
         try:
             target = socket.create_connection(self.target, CONNECT_TIMEOUT_S)
         except OSError:
+            self.refuse_if_target_does()
             reset(caller)
             return
         target.settimeout(None)
@@ -88,11 +128,15 @@
                     gevent.sleep(MAX_DELAY_S * random.random())
                 if not connection.is_blackholed:
                     sink.sendall(chunk)
+            if direction == 1:
+                self.refuse_if_target_does()
             self.wait_until_unblocked(direction)
             if not connection.is_blackholed:
                 sink.shutdown(socket.SHUT_WR)
         except OSError:
             # A reset of one socket is forwarded to the other.
+            if direction == 1:
+                self.refuse_if_target_does()
             reset(source)
             reset(sink)
 
@@ -135,9 +179,9 @@
     name = command['link']
     match command['do']:
         case 'open':
-            link = Link(tuple(command['target']))
+            link = Link(tuple(command['listen']), tuple(command['target']))
             links[name] = link
-            StreamServer(tuple(command['listen']), link.serve).start()
+            link.start()
         case 'mode':
             links[name].set_mode(command['mode'])
         case fault:
--- a/soak/server.py
+++ b/soak/server.py
@@ -43,6 +43,12 @@
 EXTRA_DRAIN_S = 1.5
 IDLE_TIMEOUT_S = 5
 HANG_S = 30.0
+# Prefix of the ids of parts of prompts that crash each server which begins to
+# answer, and the exit status of such a server.
+CRASHING_PART = 'crash'
+CRASHED_STATUS = 70
+# Time from the head of an answer to the crash.
+CRASH_DELAY_S = 0.03
 NOT_EXECUTED = {'X-Not-Executed': '1'}
 
 
@@ -234,6 +240,9 @@
             }
         )
         gevent.sleep(SERVICE_TIME_S)
+        part = find_crashing_part(headers)
+        if part:
+            self.crash(sock, attempt, part)
         match kind:
             case 'lost':
                 return False
@@ -260,6 +269,17 @@
             sock.sendall(answer)
         return bool(self.row['state'] == 'ready')
 
+    def crash(self, sock: socket.socket, attempt: str, part: str) -> None:
+        """End the process after the head of an answer."""
+        headers = {
+            **self.make_headers(attempt),
+            'Transfer-Encoding': 'chunked',
+        }
+        sock.sendall(format_head('HTTP/1.1 200 X', headers))
+        gevent.sleep(CRASH_DELAY_S)
+        self.write_event({'crashed': attempt, 'part': part})
+        os._exit(CRASHED_STATUS)
+
     def make_headers(self, attempt: str) -> dict[str, Any]:
         """Build the headers of an answer to an executed request."""
         headers = {
@@ -338,6 +358,16 @@
         sock.sendall(format_head(f'HTTP/1.1 {status} X', headers))
 
 
+def find_crashing_part(headers: dict[str, str]) -> str:
+    """Find a part of a prompt that crashes servers.
+
+    :returns: its id, empty if there is none.
+    """
+    parts = headers.get('x-prompt-prefix', '').split(',')
+    ids = [part.partition(':')[0] for part in parts[:-1]]
+    return next((each for each in ids if each.startswith(CRASHING_PART)), '')
+
+
 def execute_command(servers: list[Server], command: dict[str, Any]) -> None:
     """Execute one command."""
     if command['do'] == 'hold':
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -142,7 +142,7 @@
         if not bad:
             self.sound_sent += 1
         guard = self.guards[entry]
-        if guard.barred_trait(traits, self.now):
+        if guard.bars.barred_trait(traits, self.now):
             self.sound_refused += not bad
             return
         free = [
@@ -153,7 +153,7 @@
         if not free:
             return
         run = Run(entry, traits, bad, self.source.choice(free), attempt)
-        guard.record_send(traits, self.now)
+        guard.bars.record_send(traits, self.now)
         run.upstream.runs.add(run)
         if bad:
             self.sends.setdefault(bad, []).append(self.now)
@@ -176,7 +176,7 @@
         if run in run.upstream.runs:
             run.answered = True
             guard = self.guards[run.entry]
-            message = RequestAnswered(run.traits)
+            message = RequestAnswered('s', run.traits)
             self.tell(run.entry, guard.handle(message, self.now))
 
     def crash(self, run):
@@ -188,7 +188,7 @@
         entries = set()
         for other in sorted(lost, key=lambda known: known.traits):
             if not other.answered:
-                broken = ConnectionBroken(other.traits, upstream.name)
+                broken = ConnectionBroken('s', other.traits, upstream.name)
                 self.guards[other.entry].handle(broken, self.now)
                 entries.add(other.entry)
         for entry in sorted(entries):
@@ -224,10 +224,10 @@
         """Send the bars and the recent crashes of an entry to a peer."""
         for crash in self.guards[entry].records.crashes[-10:]:
             age_s = self.now - crash.at
-            message = PeerCrash(crash.upstream, tuple(crash.traits), age_s)
+            message = PeerCrash('s', crash.upstream, tuple(crash.traits), age_s)
             if age_s < RESEND_AGE_S:
                 self.deliver(entry, peer, message)
-        for trait, known in self.guards[entry].bars.items():
+        for trait, known in self.guards[entry].bars.by_trait.items():
             left_s = known.until - self.now
             message = PeerBar(trait, self.now - known.since, left_s)
             self.deliver(entry, peer, message)
@@ -237,8 +237,8 @@
         messages = []
         for notice in notices:
             match notice:
-                case CrashObserved(upstream, traits):
-                    messages.append(PeerCrash(upstream, traits, 0))
+                case CrashObserved(_service, upstream, traits):
+                    messages.append(PeerCrash('s', upstream, traits, 0))
                 case SuspectAnswered(trait):
                     messages.append(PeerAnswer(trait))
                 case TraitBarred(trait):
--- a/tests/test_crash_attribution.py
+++ b/tests/test_crash_attribution.py
@@ -38,7 +38,7 @@
     for number in range(setup.bad_parts):
         part = f'part:bad{number}'
         assert world.later_sends(part) <= MAX_LATER_SENDS
-        assert any(part in guard.bars for guard in world.guards)
+        assert any(part in guard.bars.by_trait for guard in world.guards)
     assert 'part:common' not in world.sound_barred
     assert world.sound_refused <= MAX_REFUSED_SHARE * world.sound_sent
 
@@ -46,5 +46,5 @@
 @pytest.mark.parametrize('seed', SEEDS)
 def test_without_a_crashing_part_nothing_is_barred(seed):
     world = CrashWorld(Setup(seed, bad_share=0)).play()
-    assert not any(guard.bars for guard in world.guards)
+    assert not any(guard.bars.by_trait for guard in world.guards)
     assert not world.sound_refused
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -11,7 +11,6 @@
 
 from comfreyarch_core.crashguard import (
     BAR_SCORE,
-    MAX_BARS,
     MIN_ANSWERS,
     make_crash_guard,
 )
@@ -30,8 +29,9 @@
     UpstreamDied,
 )
 from comfreyarch_core.crashrecords import EVIDENCE_S, MAX_CRASHES, SAME_CRASH_S
-from comfreyarch_core.traitbars import BAR_S, PROBE_OUTCOME_S
+from comfreyarch_core.traitbars import BAR_S, MAX_BARS, PROBE_OUTCOME_S
 from comfreyarch_core.traitscores import MAX_TRAITS
+from comfreyarch_core.traitshares import MAX_SHARES
 
 # Retries that may reach upstreams after the third crash, by requirement.
 MAX_LATER_RETRIES = 3
@@ -45,7 +45,7 @@
 
     :returns: the notices for the other entries.
     """
-    guard.handle(ConnectionBroken(traits, upstream), now)
+    guard.handle(ConnectionBroken('s', traits, upstream), now)
     return guard.handle(UpstreamDied(upstream), now)
 
 
@@ -53,21 +53,21 @@
     """Create a guard that has received answers with some traits."""
     guard = make_crash_guard()
     for _ in range(MIN_ANSWERS):
-        guard.handle(RequestAnswered(traits), 0)
+        guard.handle(RequestAnswered('s', traits), 0)
     return guard
 
 
 def test_a_request_that_crashed_three_upstreams_is_barred():
     guard = make_crash_guard()
     for number in range(BAR_SCORE):
-        assert not guard.barred_trait((REQUEST,), number)
+        assert not guard.bars.barred_trait((REQUEST,), number)
         notices = crash(guard, f'u{number}', number, REQUEST)
     assert notices == [
-        CrashObserved(f'u{BAR_SCORE - 1}', (REQUEST,)),
+        CrashObserved('s', f'u{BAR_SCORE - 1}', (REQUEST,)),
         TraitBarred(REQUEST, BAR_SCORE),
     ]
-    assert guard.barred_trait((REQUEST,), BAR_SCORE) == REQUEST
-    assert not guard.barred_trait(('request:other',), BAR_SCORE)
+    assert guard.bars.barred_trait((REQUEST,), BAR_SCORE) == REQUEST
+    assert not guard.bars.barred_trait(('request:other',), BAR_SCORE)
 
 
 def test_the_part_that_different_requests_share_is_barred():
@@ -75,35 +75,35 @@
     guard = guard_with_baseline(COMMON)
     for number in range(BAR_SCORE):
         crash(guard, f'u{number}', 1, COMMON, BAD, f'request:{number}')
-    assert set(guard.bars) == {BAD}
-    assert guard.barred_trait((COMMON, BAD), 1) == BAD
-    assert not guard.barred_trait((COMMON, 'part:d'), 1)
+    assert set(guard.bars.by_trait) == {BAD}
+    assert guard.bars.barred_trait((COMMON, BAD), 1) == BAD
+    assert not guard.bars.barred_trait((COMMON, 'part:d'), 1)
 
 
 def test_a_broken_connection_to_a_live_upstream_is_no_crash():
     guard = make_crash_guard()
     for number in range(BAR_SCORE):
-        guard.handle(ConnectionBroken((REQUEST,), f'u{number}'), 0)
+        guard.handle(ConnectionBroken('s', (REQUEST,), f'u{number}'), 0)
     late = 2 * EVIDENCE_S
     for number in range(BAR_SCORE):
         assert not guard.handle(UpstreamDied(f'u{number}'), late)
     for number in range(BAR_SCORE):
-        guard.handle(ConnectionBroken((REQUEST,), f'u{number}'), late)
+        guard.handle(ConnectionBroken('s', (REQUEST,), f'u{number}'), late)
         guard.handle(UpstreamAlive(f'u{number}'), late)
         assert not guard.handle(UpstreamDied(f'u{number}'), late)
-    assert not guard.barred_trait((REQUEST,), late)
+    assert not guard.bars.barred_trait((REQUEST,), late)
 
 
 def test_answers_count_against_a_suspect_at_all_entries():
     guard = make_crash_guard()
     for number in range(BAR_SCORE - 1):
         crash(guard, f'u{number}', number, REQUEST)
-    notices = guard.handle(RequestAnswered((REQUEST,)), BAR_SCORE)
+    notices = guard.handle(RequestAnswered('s', (REQUEST,)), BAR_SCORE)
     assert notices == [SuspectAnswered(REQUEST)]
     guard.handle_peer(PeerAnswer(REQUEST), BAR_SCORE)
     for number in range(BAR_SCORE - 1):
         crash(guard, f'v{number}', BAR_SCORE, REQUEST)
-    assert not guard.barred_trait((REQUEST,), BAR_SCORE)
+    assert not guard.bars.barred_trait((REQUEST,), BAR_SCORE)
 
 
 def test_what_is_answered_often_is_not_barred_when_a_service_goes_down():
@@ -111,14 +111,30 @@
     guard = guard_with_baseline(COMMON)
     for number in range(100):
         crash(guard, f'u{number}', 1, COMMON, f'request:{number}')
-    assert not guard.bars
+    assert not guard.bars.by_trait
+
+
+def test_answers_of_another_service_say_nothing_about_a_part():
+    """Guards against a bar on a common part of a service that is down."""
+    guard = guard_with_baseline(COMMON)
+    for _ in range(1000):
+        guard.handle(RequestAnswered('other', ('part:o',)), 1)
+    for number in range(100):
+        crash(guard, f'u{number}', 2, COMMON)
+    assert not guard.bars.by_trait
+    started = make_crash_guard()
+    for _ in range(1000):
+        started.handle(RequestAnswered('other', ('part:o',)), 1)
+    for number in range(100):
+        crash(started, f'u{number}', 2, COMMON)
+    assert not started.bars.by_trait
 
 
 def test_parts_are_not_judged_before_it_is_known_which_are_common():
     guard = make_crash_guard()
     for number in range(20):
         crash(guard, f'u{number}', 1, COMMON, f'request:{number}')
-    assert not guard.bars
+    assert not guard.bars.by_trait
 
 
 def test_crashes_that_a_barred_part_explains_do_not_count_for_others():
@@ -126,29 +142,29 @@
     for number in range(BAR_SCORE):
         parts = (BAD, 'part:a') if number else (BAD,)
         crash(guard, f'u{number}', 1, *parts)
-    assert set(guard.bars) == {BAD}
+    assert set(guard.bars.by_trait) == {BAD}
     for number in range(2):
         crash(guard, f'v{number}', 2, 'part:a')
-    assert set(guard.bars) == {BAD}
+    assert set(guard.bars.by_trait) == {BAD}
     crash(guard, 'v2', 2, 'part:a')
-    assert set(guard.bars) == {BAD, 'part:a'}
+    assert set(guard.bars.by_trait) == {BAD, 'part:a'}
 
 
 def test_a_bar_is_lifted_once_another_part_explains_its_crashes():
     guard = guard_with_baseline(COMMON)
     for number in range(BAR_SCORE):
         crash(guard, f'u{number}', 1, BAD, 'part:a')
-    assert set(guard.bars) == {'part:a'}
+    assert set(guard.bars.by_trait) == {'part:a'}
     notices = crash(guard, 'u9', 2, BAD, 'part:b')
     assert TraitCleared('part:a') in notices
-    assert set(guard.bars) == {BAD}
+    assert set(guard.bars.by_trait) == {BAD}
 
 
 def test_reports_of_one_crash_count_once_and_a_restarted_upstream_again():
     guard = make_crash_guard()
     crash(guard, 'u', 0, REQUEST)
     for age_s in (0.0, 0.5, 1.0):
-        guard.handle_peer(PeerCrash('u', (REQUEST,), age_s), 1)
+        guard.handle_peer(PeerCrash('s', 'u', (REQUEST,), age_s), 1)
     assert guard.scores.net(REQUEST) == 1
     crash(guard, 'u', SAME_CRASH_S, REQUEST)
     assert guard.scores.net(REQUEST) == 2
@@ -157,17 +173,19 @@
 def test_after_its_end_a_bar_lets_one_probe_through():
     guard = make_crash_guard()
     guard.handle_peer(PeerBar(REQUEST, 0, BAR_S), 0)
-    assert guard.barred_trait((REQUEST,), BAR_S - 1)
-    assert not guard.barred_trait((REQUEST,), BAR_S)
-    guard.record_send((REQUEST,), BAR_S)
-    assert guard.barred_trait((REQUEST,), BAR_S)
-    assert not guard.barred_trait((REQUEST,), BAR_S + PROBE_OUTCOME_S + 1)
+    assert guard.bars.barred_trait((REQUEST,), BAR_S - 1)
+    assert not guard.bars.barred_trait((REQUEST,), BAR_S)
+    guard.bars.record_send((REQUEST,), BAR_S)
+    assert guard.bars.barred_trait((REQUEST,), BAR_S)
+    assert not guard.bars.barred_trait((REQUEST,), BAR_S + PROBE_OUTCOME_S + 1)
     crash(guard, 'u', BAR_S + 1, REQUEST)
-    assert guard.barred_trait((REQUEST,), 2 * BAR_S)
-    guard.record_send((REQUEST,), 2 * BAR_S + 1)
-    (notice,) = guard.handle(RequestAnswered((REQUEST,)), 2 * BAR_S + 1)[1:]
+    assert guard.bars.barred_trait((REQUEST,), 2 * BAR_S)
+    guard.bars.record_send((REQUEST,), 2 * BAR_S + 1)
+    (notice,) = guard.handle(RequestAnswered('s', (REQUEST,)), 2 * BAR_S + 1)[
+        1:
+    ]
     assert notice == TraitCleared(REQUEST)
-    assert not guard.bars
+    assert not guard.bars.by_trait
 
 
 def test_a_lifted_bar_is_not_taken_over_from_a_peer_that_missed_it():
@@ -176,16 +194,16 @@
     assert guard.handle(Lift(REQUEST), 5) == [TraitCleared(REQUEST)]
     late = guard.handle_peer(PeerBar(REQUEST, 6, BAR_S - 6), 6)
     assert late == [TraitCleared(REQUEST)]
-    assert not guard.bars
+    assert not guard.bars.by_trait
     guard.handle_peer(PeerBar(REQUEST, 0.5, BAR_S), 6)
-    assert set(guard.bars) == {REQUEST}
+    assert set(guard.bars.by_trait) == {REQUEST}
 
 
 def test_an_entry_that_receives_answers_does_not_take_over_a_bar():
     guard = guard_with_baseline(COMMON)
     notices = guard.handle_peer(PeerBar(COMMON, 0, BAR_S), 1)
     assert notices == [TraitCleared(COMMON)]
-    assert not guard.bars
+    assert not guard.bars.by_trait
 
 
 def test_a_bar_that_is_taken_over_is_enforced():
@@ -200,14 +218,15 @@
     for number in range(BAR_SCORE - 1):
         crash(guard, f'u{number}', 1, BAD)
     for number in range(2 * MAX_TRAITS):
-        guard.handle(RequestAnswered((f'part:{number}',)), 2)
-    assert len(guard.scores.counts) <= MAX_TRAITS
+        guard.handle(RequestAnswered('s', (f'part:{number}',)), 2)
+    assert len(guard.scores.by_trait) <= MAX_TRAITS
+    assert len(guard.shares.traits) <= MAX_SHARES
     crash(guard, 'u9', 3, BAD)
-    assert set(guard.bars) == {BAD}
+    assert set(guard.bars.by_trait) == {BAD}
     for number in range(3 * MAX_BARS):
         guard.handle_peer(PeerBar(f'part:x{number}', 0, BAR_S), 4)
         crash(guard, f'w{number}', 4, f'part:y{number}')
-    assert len(guard.bars) == MAX_BARS
+    assert len(guard.bars.by_trait) == MAX_BARS
     assert len(guard.records.crashes) == MAX_CRASHES
     guard.expire(4 + EVIDENCE_S + BAR_S)
     assert not guard.records.crashes
@@ -218,7 +237,7 @@
     for number in range(BAR_SCORE - 1):
         crash(guard, f'u{number}', 0, REQUEST)
     crash(guard, 'u9', 10_000, REQUEST)
-    assert not guard.bars
+    assert not guard.bars.by_trait
 
 
 @pytest.mark.parametrize('seed', range(20))
@@ -231,14 +250,14 @@
     for number in range(200):
         now = number * 0.5
         guard = source.choice(guards)
-        if guard.barred_trait((REQUEST,), now):
+        if guard.bars.barred_trait((REQUEST,), now):
             continue
         later += crashed >= BAR_SCORE
         crashed += 1
         for notice in crash(guard, f'u{number}', now, REQUEST):
             if not isinstance(notice, CrashObserved):
                 continue
-            report = PeerCrash(notice.upstream, notice.traits, 0)
+            report = PeerCrash('s', notice.upstream, notice.traits, 0)
             for other in guards:
                 if source.random() < 0.9:
                     other.handle_peer(report, now)
--- a/tests/test_shared_crash_guard.py
+++ b/tests/test_shared_crash_guard.py
@@ -13,6 +13,7 @@
 from comfreyarch_core.crashguard import BAR_SCORE, MIN_ANSWERS
 from comfreyarch_core.crashmessages import PeerBar, PeerCrash
 from comfreyarch_core.traitbars import BAR_S
+from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_daemon.barspage import OperatorPages
 from comfreyarch_daemon.crashgossip import BARS, CRASH, LIFTED
 from comfreyarch_daemon.datagrams import DECODE_ERRORS
@@ -90,12 +91,17 @@
 def crash_part(guard, count):
     """Let the bad part crash some upstreams, after enough answers."""
     for _ in range(MIN_ANSWERS):
-        guard.record_answer(('part:c',))
+        guard.record_answer('s', ('part:c',))
     for number in range(count):
-        message = PeerCrash(f'v{number}', ('part:c', BAD), 0)
+        message = PeerCrash('s', f'v{number}', ('part:c', BAD), 0)
         guard.guard.handle_peer(message, boot_time())
 
 
+def dead_upstream(number):
+    """Describe an upstream at an address where nothing listens."""
+    return UpstreamEntry(f'u{number}', 's', '127.0.0.1:1', 'z', 6, False)
+
+
 def test_a_waiting_request_is_refused_once_its_part_is_barred():
     """Guards against a bar that is checked on arrival only (issue 28)."""
     holding = Holding()
@@ -176,14 +182,14 @@
         guard = network.guard(f'e{number}')
         crash_part(guard, 0)
         guard.record_broken_connection(
-            ('part:c', BAD, f'request:{number}'), f'u{number}', '127.0.0.1:1'
+            ('part:c', BAD, f'request:{number}'), dead_upstream(number)
         )
     for number in range(3):
-        assert set(network.guard(f'e{number}').guard.bars) == {BAD}
+        assert set(network.guard(f'e{number}').guard.bars.by_trait) == {BAD}
     restarted = network.add('e0')
-    assert not restarted.guard.bars
+    assert not restarted.guard.bars.by_trait
     restarted.gossip.request()
-    assert set(restarted.guard.bars) == {BAD}
+    assert set(restarted.guard.bars.by_trait) == {BAD}
 
 
 def test_lost_reports_are_sent_again():
@@ -192,17 +198,15 @@
     guard = network.guard('e0')
     crash_part(guard, 0)
     for number in range(BAR_SCORE):
-        guard.record_broken_connection(
-            ('part:c', BAD), f'u{number}', '127.0.0.1:1'
-        )
+        guard.record_broken_connection(('part:c', BAD), dead_upstream(number))
     peer = network.guard('e1').guard
-    assert not peer.bars
+    assert not peer.bars.by_trait
     network.lost = {BARS}
     guard.tick()
     assert len(peer.records.crashes) == BAR_SCORE
     network.lost = set()
     guard.tick()
-    assert set(peer.bars) == {BAD}
+    assert set(peer.bars.by_trait) == {BAD}
 
 
 def test_an_operator_lists_and_lifts_bars():
@@ -227,8 +231,8 @@
         assert again.exit_code != 0
     finally:
         server.stop(timeout=0)
-    assert not guard.guard.bars
-    assert not network.guard('e1').guard.bars
+    assert not guard.guard.bars.by_trait
+    assert not network.guard('e1').guard.bars.by_trait
     assert b'comfreyarch_bars 0.0' in guard.metrics.text()
 
 
@@ -238,19 +242,19 @@
     guard = network.guard('e0')
     guard.guard.handle_peer(PeerBar('part:c', 0, BAR_S), boot_time())
     guard.tick()
-    assert not guard.guard.bars
+    assert not guard.guard.bars.by_trait
 
 
 @pytest.mark.parametrize(
     'message',
     [
         [CRASH],
-        [CRASH, 'u', ['t'], 'late'],
-        [CRASH, 'u', ['t'], float('nan')],
-        [CRASH, 'u', ['t'], -1],
-        [CRASH, 'u', ['t'] * 1000, 0],
-        [CRASH, 'u', ['t' * 1000], 0],
-        [CRASH, 5, ['t'], 0],
+        [CRASH, 's', 'u', ['t'], 'late'],
+        [CRASH, 's', 'u', ['t'], float('nan')],
+        [CRASH, 's', 'u', ['t'], -1],
+        [CRASH, 's', 'u', ['t'] * 1000, 0],
+        [CRASH, 's', 'u', ['t' * 1000], 0],
+        [CRASH, 's', 5, ['t'], 0],
         [BARS, [['t', 0]]],
         [BARS, 5],
         [BARS, [['t', 0, float('inf')]]],
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -173,6 +173,27 @@
     assert not check(evidence)
 
 
+# Fails if the soak does not see requests with a part that crashed servers.
+def test_a_part_that_crashed_five_servers():
+    evidence = make_evidence(make_record(crashing_part='crash1'), [])
+    crashes = [
+        {'server': f's{at}', 'at': at, 'crashed': 'a', 'part': 'crash1'}
+        for at in (90, 91, 92, 93, 94)
+    ]
+    runs = [make_run(arrived=97.5 + number) for number in range(4)]
+    evidence.runs.extend((*crashes, *runs))
+    violations = [line for line in check(evidence) if 'crashing' in line]
+    assert violations == [
+        'sent_with_crashing_part: crash1 crashed 5 servers, and 4 requests '
+        'with it were sent later'
+    ]
+    evidence.faults.append(Fault('pause', 'entry-0', 96, 97))
+    assert not [line for line in check(evidence) if 'crashing' in line]
+    evidence.faults.clear()
+    evidence.runs.remove(crashes[0])
+    assert not [line for line in check(evidence) if 'crashing' in line]
+
+
 # Fails if the soak does not count repeats that servers rejected.
 def test_repeats_beyond_the_budget():
     arrivals = [
