Judge a common part by the answers on its own route

Shares are kept by route now. On a route with fewer than five answers a part is barred at five crashes instead of three, if its service answers: a route may have no sound requests at all.

--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -28,6 +28,7 @@
     PeerMessage,
     RequestAnswered,
     SuspectAnswered,
+    Target,
     TraitBarred,
     TraitCleared,
     UpstreamAlive,
@@ -38,6 +39,7 @@
     Break,
     Crash,
     CrashRecords,
+    LostTrait,
     make_crash_records,
 )
 from comfreyarch_core.traitbars import (
@@ -52,11 +54,14 @@
 
 # Net number of crashes at which a trait is barred.
 BAR_SCORE = 3
-# Answers of a service needed before parts are barred: they tell which are common.
+# Answers on a route, or of its service, needed before its parts are judged.
 MIN_ANSWERS = 5
-# Share in the recent answers of a service above which a part is not barred, since a bar would
-# refuse most sound requests.
+# Share in the recent answers on a route above which a part is not barred, since a
+# bar would refuse most sound requests.
 MAX_SHARE = 0.3
+# Net number at which a part is barred while few answers on the route show which
+# parts are common on it.
+NEW_ROUTE_SCORE = 5
 # Net number up to which a bar of a peer is not taken over.
 SOUND_SCORE = -3
 # Limit on the traits of one crash.
@@ -82,10 +87,10 @@
         :returns: what to tell the other entries.
         """
         match message:
-            case RequestAnswered(service, traits):
-                return self.record_answer(service, traits, now)
-            case ConnectionBroken(service, traits, upstream):
-                broken = Break(service, traits, upstream, now)
+            case RequestAnswered(target, traits):
+                return self.record_answer(target, traits, now)
+            case ConnectionBroken(target, traits, upstream):
+                broken = Break(target, traits, upstream, now)
                 self.records.add_break(broken)
             case UpstreamDied(upstream):
                 return self.confirm_crash(upstream, now)
@@ -111,9 +116,9 @@
             has to lift.
         """
         match message:
-            case PeerCrash(service, upstream, traits, age_s):
-                crash = self.records.find_crash(service, upstream, now - age_s)
-                self.record_crash(crash, traits)
+            case PeerCrash(target, upstream, traits, age_s):
+                crash = self.records.find_crash(upstream, now - age_s)
+                self.record_crash(crash, target, traits)
                 return self.judge(now)
             case PeerAnswer(trait):
                 return self.count_answer(trait, now)
@@ -135,7 +140,7 @@
         return not (records.breaks or records.crashes or self.bars.by_trait)
 
     def record_answer(
-        self, service: str, traits: tuple[str, ...], now: float
+        self, target: Target, traits: tuple[str, ...], now: float
     ) -> list[Notice]:
         """Count an answer against the traits of its request."""
         counted = [
@@ -143,7 +148,7 @@
             for trait in traits
             if trait.startswith(PART) or trait in self.scores.by_trait
         ]
-        self.shares.record_answer(service, counted)
+        self.shares.record_answer(target, counted)
         notices: list[Notice] = []
         for trait in counted:
             if self.scores.net(trait) > 0:
@@ -167,20 +172,22 @@
             if now - broken.at <= EVIDENCE_S
         ]
         for broken in lost:
-            crash = self.records.find_crash(broken.service, upstream, now)
-            self.record_crash(crash, broken.traits)
+            crash = self.records.find_crash(upstream, now)
+            self.record_crash(crash, broken.target, broken.traits)
         observed: list[Notice] = [
-            CrashObserved(each.service, upstream, each.traits) for each in lost
+            CrashObserved(each.target, upstream, each.traits) for each in lost
         ]
         return [*observed, *self.judge(now)]
 
-    def record_crash(self, crash: Crash, traits: tuple[str, ...]) -> None:
+    def record_crash(
+        self, crash: Crash, target: Target, traits: tuple[str, ...]
+    ) -> None:
         """Count a crash once for each trait, also if it is reported again."""
         self.expire(crash.at)
         for position, trait in enumerate(traits):
             if trait in crash.traits or len(crash.traits) >= MAX_CRASH_TRAITS:
                 continue
-            crash.traits[trait] = position
+            crash.traits[trait] = LostTrait(target, position)
             if not crash.explained:
                 self.scores.add(trait, 1)
         for barred in traits:
@@ -203,11 +210,11 @@
             crashes, then the most specific; empty if there is none.
         """
         position_by_trait = {
-            trait: position
+            trait: lost.position
             for crash in self.records.crashes
             if not crash.explained
-            for trait, position in crash.traits.items()
-            if self.is_culprit(trait, crash.service)
+            for trait, lost in crash.traits.items()
+            if self.is_culprit(trait, lost.target)
         }
         return max(
             position_by_trait,
@@ -219,25 +226,17 @@
             default='',
         )
 
-    def is_culprit(self, trait: str, service: str) -> bool:
+    def is_culprit(self, trait: str, target: Target) -> bool:
         """Check whether a trait is to be barred."""
-        return (
-            self.scores.net(trait) >= BAR_SCORE
-            and not self.bars.has(trait)
-            and self.may_bar(trait, service)
-        )
-
-    def may_bar(self, trait: str, service: str) -> bool:
-        """Check that a bar would not refuse most sound requests.
-
-        :returns: False for a common part, or if it is unknown which are common.
-        """
+        net = self.scores.net(trait)
+        if net < BAR_SCORE or self.bars.has(trait):
+            return False
         if trait.startswith(REQUEST):
             return True
-        return (
-            self.shares.answers(service) >= MIN_ANSWERS
-            and self.shares.share(service, trait) <= MAX_SHARE
-        )
+        if self.shares.route_answers(target.route) >= MIN_ANSWERS:
+            return self.shares.share(target.route, trait) <= MAX_SHARE
+        answers = self.shares.service_answers(target.service)
+        return net >= NEW_ROUTE_SCORE and answers >= MIN_ANSWERS
 
     def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
         """Add a bar and attribute the crashes with the trait to it.
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
@@ -3,24 +3,31 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Name the service and the route of a request."""
+
+    service: str
+    route: str
+
+
 @dataclass(frozen=True, slots=True)
 class ConnectionBroken:
     """Report that a connection broke before the upstream began to answer.
 
-    :param service: service of the upstream.
     :param traits: traits of the request, the most general one first.
     """
 
-    service: str
+    target: Target
     traits: tuple[str, ...]
     upstream: str
 
 
 @dataclass(frozen=True, slots=True)
 class RequestAnswered:
-    """Report that an upstream of a service survived the begin of an answer."""
+    """Report that an upstream survived the begin of an answer."""
 
-    service: str
+    target: Target
     traits: tuple[str, ...]
 
 
@@ -42,12 +49,11 @@
 class PeerCrash:
     """Report a crash that another entry observed.
 
-    :param service: service of the upstream.
     :param traits: traits of the requests that were lost there.
     :param age_s: seconds since the crash.
     """
 
-    service: str
+    target: Target
     upstream: str
     traits: tuple[str, ...]
     age_s: float
@@ -84,11 +90,10 @@
 class CrashObserved:
     """Request that peers are told of a crash.
 
-    :param service: service of the upstream.
     :param traits: traits of this entry's requests that were lost there.
     """
 
-    service: str
+    target: Target
     upstream: str
     traits: tuple[str, ...]
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from comfreyarch_core.crashmessages import Target
+
 # A broken connection is evidence if its upstream proves dead within this time.
 # A list entry expires after three missed heartbeats, which take 3.6 s in the
 # deployments served.
@@ -20,25 +22,34 @@
 class Break:
     """Hold a broken connection until its upstream proves dead or alive."""
 
-    service: str
+    target: Target
     traits: tuple[str, ...]
     upstream: str
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class LostTrait:
+    """Describe a trait of a lost request.
+
+    :param position: position in the request; a later one is more specific.
+    """
+
+    target: Target
+    position: int
+
+
 @dataclass(eq=False, slots=True)
 class Crash:
     """Hold one crash of an upstream.
 
-    :param traits: traits of the lost requests, with the position of each in
-        its request; a later one is more specific.
+    :param traits: traits of the lost requests.
     :param explained: whether one of them is barred.
     """
 
-    service: str
     upstream: str
     at: float
-    traits: dict[str, int] = field(default_factory=dict)
+    traits: dict[str, LostTrait] = field(default_factory=dict)
     explained: bool = False
 
 
@@ -66,12 +77,12 @@
             self.breaks.remove(broken)
         return taken
 
-    def find_crash(self, service: str, upstream: str, at: float) -> Crash:
+    def find_crash(self, upstream: str, at: float) -> Crash:
         """Return the record of a crash, which is created if there is none."""
         for known in self.crashes:
             if known.upstream == upstream and abs(known.at - at) < SAME_CRASH_S:
                 return known
-        crash = Crash(service, upstream, at)
+        crash = Crash(upstream, at)
         self.crashes.append(crash)
         return crash
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/crashgossip.py
@@ -14,6 +14,7 @@
     PeerCrash,
     PeerMessage,
     SuspectAnswered,
+    Target,
     TraitBarred,
     TraitCleared,
 )
@@ -97,8 +98,8 @@
         :returns: the message.
         """
         match notice:
-            case CrashObserved(service, upstream, traits):
-                return [CRASH, service, upstream, list(traits), 0]
+            case CrashObserved(target, upstream, traits):
+                return encode_crash(target, upstream, traits, 0)
             case SuspectAnswered(trait):
                 return [SUSPECT_ANSWERED, trait]
             case TraitBarred(trait):
@@ -112,11 +113,14 @@
         :returns: the messages.
         """
         now = boot_time()
-        messages = [
-            encode_crash(crash, now)
+        recent = [
+            crash
             for crash in self.guard.records.crashes[-MAX_RESENT:]
             if now - crash.at < RESEND_AGE_S
         ]
+        messages = [
+            message for crash in recent for message in encode_record(crash, now)
+        ]
         if self.guard.bars.by_trait:
             messages.append(self.encode_bars(self.guard.bars.by_trait))
         return messages
@@ -144,14 +148,15 @@
 
         :raises ValueError: if the message is malformed.
         """
-        _tag, service, upstream, traits, age_s = message
+        service, route, *lost = message[1:]
+        upstream, traits, age_s = lost
         if len(traits) > MAX_TRAITS:
             raise ValueError(f'crash with {len(traits)} traits is too large')
         checked = tuple(check_name(trait) for trait in traits)
-        crash = PeerCrash(
-            check_name(service), check_name(upstream), checked, check_s(age_s)
+        target = Target(check_name(service), check_name(route))
+        self.apply(
+            PeerCrash(target, check_name(upstream), checked, check_s(age_s))
         )
-        self.apply(crash)
 
     def receive_answer(self, message: list[Any], _address: str) -> None:
         """Handle an answer to a suspect that a peer received."""
@@ -190,18 +195,36 @@
         return notices
 
 
-def encode_crash(crash: Crash, now: float) -> list[Any]:
-    """Encode a crash with its traits, the most general ones first.
+def encode_crash(
+    target: Target, upstream: str, traits: Iterable[str], age_s: float
+) -> list[Any]:
+    """Encode a crash at which requests of one route were lost.
 
+    :param age_s: seconds since the crash.
     :returns: the message.
     """
-    traits = sorted(crash.traits, key=lambda trait: crash.traits[trait])
+    return [CRASH, target.service, target.route, upstream, list(traits), age_s]
+
+
+def encode_record(crash: Crash, now: float) -> list[list[Any]]:
+    """Encode a crash on record, the most general traits first.
+
+    :returns: a message for each route.
+    """
+    traits_by_target: dict[Target, list[str]] = {}
+    for trait, lost in sorted(
+        crash.traits.items(), key=lambda known: known[1].position
+    ):
+        traits_by_target.setdefault(lost.target, []).append(trait)
     age_s = max(0, now - crash.at)
-    return [CRASH, crash.service, crash.upstream, traits, age_s]
+    return [
+        encode_crash(target, crash.upstream, traits, age_s)
+        for target, traits in traits_by_target.items()
+    ]
 
 
 def check_name(text: object) -> str:
-    """Check a trait, or the name of a service or upstream, that a peer sent.
+    """Check a trait, or the name of a service, route or upstream, that a peer sent.
 
     :returns: the text.
     :raises ValueError: if it is no text, or too long.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from comfreyarch_core.crashguard import PART, REQUEST
+from comfreyarch_core.crashmessages import Target
 from comfreyarch_core.refusals import Refusal
 from comfreyarch_core.retryshare import (
     EntryCount,
@@ -71,6 +72,13 @@
     deadline: float
     pass_count: float = 0
 
+    def crash_target(self) -> Target:
+        """Return what crashes and answers are compared within.
+
+        :returns: the service and the route.
+        """
+        return Target(self.service, self.route.name)
+
     def part_traits(self) -> tuple[str, ...]:
         """Return the traits of the request that belong to its prompt.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
@@ -62,13 +62,13 @@
         self.has_survived = True
         is_idle = self.crash_guard.is_idle
         traits = self.call.part_traits() if is_idle else self.call.traits()
-        self.crash_guard.record_answer(self.call.service, traits)
+        self.crash_guard.record_answer(self.call.crash_target(), traits)
 
     def record_break(self, upstream: UpstreamEntry) -> None:
         """Report a broken connection, unless the upstream survived the send."""
         if not self.has_survived:
             self.crash_guard.record_broken_connection(
-                self.call.traits(), upstream
+                self.call.crash_target(), self.call.traits(), upstream
             )
 
     def check_end(self, answer: Answer, upstream: UpstreamEntry) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
@@ -11,6 +11,7 @@
     Message,
     Notice,
     RequestAnswered,
+    Target,
     TraitBarred,
     TraitCleared,
     UpstreamAlive,
@@ -85,20 +86,21 @@
             self.guard.bars.record_send(traits(), boot_time())
 
     def record_broken_connection(
-        self, traits: tuple[str, ...], upstream: UpstreamEntry
+        self,
+        target: Target,
+        traits: tuple[str, ...],
+        upstream: UpstreamEntry,
     ) -> None:
         """Record that a connection broke before the answer, and check why.
 
         Returns once it is known whether the upstream is dead.
         """
-        self.handle_event(
-            ConnectionBroken(upstream.service, traits, upstream.name)
-        )
+        self.handle_event(ConnectionBroken(target, traits, upstream.name))
         self.check_alive(upstream)
 
-    def record_answer(self, service: str, traits: tuple[str, ...]) -> None:
+    def record_answer(self, target: Target, traits: tuple[str, ...]) -> None:
         """Record that an upstream survived the begin of an answer."""
-        self.handle_event(RequestAnswered(service, traits))
+        self.handle_event(RequestAnswered(target, traits))
 
     def record_upstream_death(self, upstream: str) -> None:
         """Record that an upstream refuses connections or is unlisted."""
