--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
@@ -36,7 +36,7 @@
 
     def __init__(self, trait: str) -> None:
         """Name the trait."""
-        super().__init__(f'upstreams crashed on other requests with {trait!r}')
+        super().__init__(f'upstreams crashed on requests with {trait!r}')
         self.trait = trait
 
 
@@ -54,9 +54,7 @@
         self.log = log
         self.metrics = metrics
         self.guard: CrashGuard = make_crash_guard()
-        self.gossip: CrashGossip = make_crash_gossip(
-            self.guard, self.apply_peer_notices
-        )
+        self.gossip: CrashGossip = make_crash_gossip(self.guard, self.apply)
         self.checks: dict[str, gevent.Greenlet] = {}
         self.on_barred: Callable[[str], None] = ignore
 
@@ -160,10 +158,6 @@
             self.gossip.send(notices)
             self.apply(notices)
 
-    def apply_peer_notices(self, notices: list[Notice]) -> None:
-        """Apply what follows from a peer's message."""
-        self.apply(notices)
-
     def apply(self, notices: list[Notice]) -> None:
         """Log and count new and lifted bars, and stop requests under way."""
         for notice in notices:
