Judge parts by the requests sent where there is no answer yet

Without any answer nothing told a common part from a bad one, so a part that crashes servers from the first second on, or after all entries have started again, was not barred while every server was down. Where a route has fewer than five answers, a part is now also barred at five crashes if 20 sends show that it is not common.

The new test fails on the former code.

--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -27,6 +27,7 @@
     PeerCrash,
     PeerMessage,
     RequestAnswered,
+    RequestSent,
     SuspectAnswered,
     Target,
     TraitBarred,
@@ -56,8 +57,10 @@
 BAR_SCORE = 3
 # Answers on a route, or of its service, needed before its parts are judged.
 MIN_ANSWERS = 5
-# Share in the recent answers on a route above which a part is not barred, since a
-# bar would refuse most sound requests.
+# Sends on a route needed where there are fewer answers.
+MIN_SENDS = 20
+# Share in the recent answers or sends on a route above which a part is not barred,
+# since a bar would refuse most sound requests.
 MAX_SHARE = 0.3
 # Net number at which a part is barred while few answers on the route show which
 # parts are common on it.
@@ -73,11 +76,16 @@
 
 @dataclass(slots=True)
 class CrashGuard:
-    """Attribute the crashes that all entries observe to traits."""
+    """Attribute the crashes that all entries observe to traits.
+
+    :param sent: shares of the traits in the requests sent.
+    :param answered: shares of the traits in the requests answered.
+    """
 
     records: CrashRecords = field(default_factory=make_crash_records)
     scores: TraitScores = field(default_factory=make_trait_scores)
-    shares: TraitShares = field(default_factory=make_trait_shares)
+    sent: TraitShares = field(default_factory=make_trait_shares)
+    answered: TraitShares = field(default_factory=make_trait_shares)
     bars: TraitBars = field(default_factory=make_trait_bars)
 
     def handle(self, message: Message, now: float) -> list[Notice]:
@@ -87,6 +95,8 @@
         :returns: what to tell the other entries.
         """
         match message:
+            case RequestSent(target, traits):
+                self.record_send(target, traits, now)
             case RequestAnswered(target, traits):
                 return self.record_answer(target, traits, now)
             case ConnectionBroken(target, traits, upstream):
@@ -139,6 +149,14 @@
         records = self.records
         return not (records.breaks or records.crashes or self.bars.by_trait)
 
+    def record_send(
+        self, target: Target, traits: tuple[str, ...], now: float
+    ) -> None:
+        """Count the parts of a request that is sent, which may be a probe."""
+        parts = [trait for trait in traits if trait.startswith(PART)]
+        self.sent.record(target, parts)
+        self.bars.record_send(traits, now)
+
     def record_answer(
         self, target: Target, traits: tuple[str, ...], now: float
     ) -> list[Notice]:
@@ -148,7 +166,7 @@
             for trait in traits
             if trait.startswith(PART) or trait in self.scores.by_trait
         ]
-        self.shares.record_answer(target, counted)
+        self.answered.record(target, counted)
         notices: list[Notice] = []
         for trait in counted:
             if self.scores.net(trait) > 0:
@@ -233,10 +251,22 @@
             return False
         if trait.startswith(REQUEST):
             return True
-        if self.shares.route_answers(target.route) >= MIN_ANSWERS:
-            return self.shares.share(target.route, trait) <= MAX_SHARE
-        answers = self.shares.service_answers(target.service)
-        return net >= NEW_ROUTE_SCORE and answers >= MIN_ANSWERS
+        if self.answered.route_count(target.route) >= MIN_ANSWERS:
+            return self.answered.share(target.route, trait) <= MAX_SHARE
+        return net >= NEW_ROUTE_SCORE and self.is_service_judged(trait, target)
+
+    def is_service_judged(self, trait: str, target: Target) -> bool:
+        """Check whether a part is judged though its route has few answers.
+
+        :returns: True if other routes of the service are answered, or if the
+            part is no common one of the requests sent.
+        """
+        if self.answered.service_count(target.service) >= MIN_ANSWERS:
+            return True
+        return (
+            self.sent.route_count(target.route) >= MIN_SENDS
+            and self.sent.share(target.route, trait) <= MAX_SHARE
+        )
 
     def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
         """Add a bar and attribute the crashes with the trait to it.
@@ -291,7 +321,7 @@
             return []
         is_lifted = self.bars.was_lifted_since(trait, trait_bar.since)
         is_sound = self.scores.net(trait) <= SOUND_SCORE
-        is_common = self.shares.highest_share(trait) > MAX_SHARE
+        is_common = self.answered.highest_share(trait) > MAX_SHARE
         if is_lifted or is_sound or is_common:
             return [TraitCleared(trait)]
         return self.add_bar(trait, trait_bar)
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashmessages.py
@@ -23,6 +23,14 @@
     upstream: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestSent:
+    """Report that a request is sent to an upstream."""
+
+    target: Target
+    traits: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RequestAnswered:
     """Report that an upstream survived the begin of an answer."""
@@ -124,7 +132,12 @@
 
 
 Message = (
-    ConnectionBroken | RequestAnswered | UpstreamDied | UpstreamAlive | Lift
+    RequestSent
+    | ConnectionBroken
+    | RequestAnswered
+    | UpstreamDied
+    | UpstreamAlive
+    | Lift
 )
 PeerMessage = PeerCrash | PeerAnswer | PeerBar | Lift
 Notice = CrashObserved | SuspectAnswered | TraitBarred | TraitCleared
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestcrashes.py
@@ -42,7 +42,9 @@
         :raises RequestBarred: if it must not be sent.
         """
         self.crash_guard.check(self.call.traits)
-        self.crash_guard.record_send(self.call.traits)
+        self.crash_guard.record_send(
+            self.call.crash_target(), self.known_traits()
+        )
         self.answering_since = None
         self.has_survived = False
         self.barred_trait = ''
@@ -60,9 +62,15 @@
         if self.has_survived:
             return
         self.has_survived = True
-        is_idle = self.crash_guard.is_idle
-        traits = self.call.part_traits() if is_idle else self.call.traits()
-        self.crash_guard.record_answer(self.call.crash_target(), traits)
+        self.crash_guard.record_answer(
+            self.call.crash_target(), self.known_traits()
+        )
+
+    def known_traits(self) -> tuple[str, ...]:
+        """Return the traits, without the digest while none is on record."""
+        if self.crash_guard.is_idle:
+            return self.call.part_traits()
+        return self.call.traits()
 
     def record_break(self, upstream: UpstreamEntry) -> None:
         """Report a broken connection, unless the upstream survived the send."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sharedcrashguard.py
@@ -11,6 +11,7 @@
     Message,
     Notice,
     RequestAnswered,
+    RequestSent,
     Target,
     TraitBarred,
     TraitCleared,
@@ -78,10 +79,9 @@
         if trait:
             raise RequestBarred(trait)
 
-    def record_send(self, traits: Callable[[], Iterable[str]]) -> None:
+    def record_send(self, target: Target, traits: tuple[str, ...]) -> None:
         """Record that a request is sent."""
-        if self.guard.bars.by_trait:
-            self.guard.bars.record_send(traits(), boot_time())
+        self.handle_event(RequestSent(target, traits))
 
     def record_broken_connection(
         self,
--- a/tests/crash_world.py
+++ b/tests/crash_world.py
@@ -13,6 +13,7 @@
     PeerBar,
     PeerCrash,
     RequestAnswered,
+    RequestSent,
     SuspectAnswered,
     Target,
     TraitBarred,
@@ -155,7 +156,7 @@
         if not free:
             return
         run = Run(entry, traits, bad, self.source.choice(free), attempt)
-        guard.bars.record_send(traits, self.now)
+        guard.handle(RequestSent(TARGET, traits), self.now)
         run.upstream.runs.add(run)
         if bad:
             self.sends.setdefault(bad, []).append(self.now)
@@ -186,9 +187,10 @@
         upstream = run.upstream
         upstream.alive = False
         self.crash_times.setdefault(run.bad, []).append(self.now)
-        lost, upstream.runs = upstream.runs, set()
+        runs, upstream.runs = upstream.runs, set()
+        lost = sorted(runs, key=lambda known: known.traits)
         entries = set()
-        for other in sorted(lost, key=lambda known: known.traits):
+        for other in lost:
             if not other.answered:
                 broken = ConnectionBroken(TARGET, other.traits, upstream.name)
                 self.guards[other.entry].handle(broken, self.now)
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -12,6 +12,7 @@
 from comfreyarch_core.crashguard import (
     BAR_SCORE,
     MIN_ANSWERS,
+    MIN_SENDS,
     NEW_ROUTE_SCORE,
     make_crash_guard,
 )
@@ -23,6 +24,7 @@
     PeerBar,
     PeerCrash,
     RequestAnswered,
+    RequestSent,
     SuspectAnswered,
     Target,
     TraitBarred,
@@ -163,6 +165,18 @@
     assert not guard.bars.by_trait
 
 
+def test_without_any_answer_the_parts_sent_show_which_are_common():
+    """Guards against crashes without end after a start of all entries."""
+    guard = make_crash_guard()
+    for number in range(MIN_SENDS):
+        part = BAD if number % 5 == 0 else f'part:{number}'
+        guard.handle(RequestSent(TARGET, (COMMON, part)), 1)
+    for number in range(NEW_ROUTE_SCORE):
+        assert not guard.bars.by_trait
+        crash(guard, f'u{number}', 1, COMMON, BAD)
+    assert set(guard.bars.by_trait) == {BAD}
+
+
 def test_crashes_that_a_barred_part_explains_do_not_count_for_others():
     guard = guard_with_baseline(COMMON)
     for number in range(BAR_SCORE):
@@ -201,12 +215,12 @@
     guard.handle_peer(PeerBar(REQUEST, 0, BAR_S), 0)
     assert guard.bars.barred_trait((REQUEST,), BAR_S - 1)
     assert not guard.bars.barred_trait((REQUEST,), BAR_S)
-    guard.bars.record_send((REQUEST,), BAR_S)
+    guard.handle(RequestSent(TARGET, (REQUEST,)), BAR_S)
     assert guard.bars.barred_trait((REQUEST,), BAR_S)
     assert not guard.bars.barred_trait((REQUEST,), BAR_S + PROBE_OUTCOME_S + 1)
     crash(guard, 'u', BAR_S + 1, REQUEST)
     assert guard.bars.barred_trait((REQUEST,), 2 * BAR_S)
-    guard.bars.record_send((REQUEST,), 2 * BAR_S + 1)
+    guard.handle(RequestSent(TARGET, (REQUEST,)), 2 * BAR_S + 1)
     (notice,) = guard.handle(
         RequestAnswered(TARGET, (REQUEST,)), 2 * BAR_S + 1
     )[1:]
@@ -246,7 +260,7 @@
     for number in range(2 * MAX_TRAITS):
         guard.handle(RequestAnswered(TARGET, (f'part:{number}',)), 2)
     assert len(guard.scores.by_trait) <= MAX_TRAITS
-    assert len(guard.shares.traits) <= MAX_SHARES
+    assert len(guard.answered.traits) <= MAX_SHARES
     crash(guard, 'u9', 3, BAD)
     assert set(guard.bars.by_trait) == {BAD}
     for number in range(3 * MAX_BARS):
