--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -287,14 +287,15 @@
         more crash bars it. For all others these crashes no longer count.
         """
         limit = self.scores.net(culprit)
-        tied = set()
+        tied: list[str] = []
         for crash in crashes:
             if crash.explained or culprit not in crash.traits:
                 continue
             crash.explained = True
-            for trait in crash.traits.keys() - self.bars.by_trait.keys():
+            others = [name for name in crash.traits if not self.bars.has(name)]
+            for trait in others:
                 if self.scores.net(trait) >= limit:
-                    tied.add(trait)
+                    tied.append(trait)
                 else:
                     self.scores.add(trait, -1)
         for trait in tied:
@@ -303,10 +304,12 @@
     def lift_weaker(self, culprit: str, now: float) -> list[Notice]:
         """Lift the bars whose crashes are all explained by a new one."""
         notices: list[Notice] = []
-        for trait in self.bars.by_trait.keys() - {culprit}:
+        for trait in list(self.bars.by_trait):
             with_trait = self.records.with_trait(trait)
-            if with_trait and all(
-                culprit in crash.traits for crash in with_trait
+            if (
+                trait != culprit
+                and with_trait
+                and all(culprit in crash.traits for crash in with_trait)
             ):
                 notices.extend(self.lift(trait, now))
         return notices
