--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -16,6 +16,11 @@
 
 from dataclasses import dataclass, field
 
+from comfreyarch_core.commonparts import (
+    BAR_SCORE,
+    CommonParts,
+    make_common_parts,
+)
 from comfreyarch_core.crashmessages import (
     ConnectionBroken,
     CrashObserved,
@@ -51,20 +56,7 @@
     make_trait_bars,
 )
 from comfreyarch_core.traitscores import TraitScores, make_trait_scores
-from comfreyarch_core.traitshares import TraitShares, make_trait_shares
-
-# Net number of crashes at which a trait is barred.
-BAR_SCORE = 3
-# Answers on a route, or of its service, needed before its parts are judged.
-MIN_ANSWERS = 5
-# Sends on a route needed where there are fewer answers.
-MIN_SENDS = 20
-# Share in the recent answers or sends on a route above which a part is not barred,
-# since a bar would refuse most sound requests.
-MAX_SHARE = 0.3
-# Net number at which a part is barred while few answers on the route show which
-# parts are common on it.
-NEW_ROUTE_SCORE = 5
+
 # Net number up to which a bar of a peer is not taken over.
 SOUND_SCORE = -3
 # Limit on the traits of one crash.
@@ -76,16 +68,11 @@
 
 @dataclass(slots=True)
 class CrashGuard:
-    """Attribute the crashes that all entries observe to traits.
-
-    :param sent: shares of the traits in the requests sent.
-    :param answered: shares of the traits in the requests answered.
-    """
+    """Attribute the crashes that all entries observe to traits."""
 
     records: CrashRecords = field(default_factory=make_crash_records)
     scores: TraitScores = field(default_factory=make_trait_scores)
-    sent: TraitShares = field(default_factory=make_trait_shares)
-    answered: TraitShares = field(default_factory=make_trait_shares)
+    common_parts: CommonParts = field(default_factory=make_common_parts)
     bars: TraitBars = field(default_factory=make_trait_bars)
 
     def handle(self, message: Message, now: float) -> list[Notice]:
@@ -154,7 +141,7 @@
     ) -> None:
         """Count the parts of a request that is sent, which may be a probe."""
         parts = [trait for trait in traits if trait.startswith(PART)]
-        self.sent.record(target, parts)
+        self.common_parts.sent.record(target, parts)
         self.bars.record_send(traits, now)
 
     def record_answer(
@@ -166,7 +153,7 @@
             for trait in traits
             if trait.startswith(PART) or trait in self.scores.by_trait
         ]
-        self.answered.record(target, counted)
+        self.common_parts.answered.record(target, counted)
         notices: list[Notice] = []
         for trait in counted:
             if self.scores.net(trait) > 0:
@@ -251,22 +238,7 @@
             return False
         if trait.startswith(REQUEST):
             return True
-        if self.answered.route_count(target.route) >= MIN_ANSWERS:
-            return self.answered.share(target.route, trait) <= MAX_SHARE
-        return net >= NEW_ROUTE_SCORE and self.is_service_judged(trait, target)
-
-    def is_service_judged(self, trait: str, target: Target) -> bool:
-        """Check whether a part is judged though its route has few answers.
-
-        :returns: True if other routes of the service are answered, or if the
-            part is no common one of the requests sent.
-        """
-        if self.answered.service_count(target.service) >= MIN_ANSWERS:
-            return True
-        return (
-            self.sent.route_count(target.route) >= MIN_SENDS
-            and self.sent.share(target.route, trait) <= MAX_SHARE
-        )
+        return net >= self.common_parts.bar_score(trait, target)
 
     def add_bar(self, trait: str, trait_bar: TraitBar) -> list[Notice]:
         """Add a bar and attribute the crashes with the trait to it.
@@ -324,7 +296,7 @@
             return []
         is_lifted = self.bars.was_lifted_since(trait, trait_bar.since)
         is_sound = self.scores.net(trait) <= SOUND_SCORE
-        is_common = self.answered.highest_share(trait) > MAX_SHARE
+        is_common = self.common_parts.is_common(trait)
         if is_lifted or is_sound or is_common:
             return [TraitCleared(trait)]
         return self.add_bar(trait, trait_bar)
--- a/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashrecords.py
@@ -20,7 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Break:
-    """Hold a broken connection until its upstream proves dead or alive."""
+    """Describe a broken connection until its upstream proves dead or alive."""
 
     target: Target
     traits: tuple[str, ...]
@@ -41,7 +41,7 @@
 
 @dataclass(eq=False, slots=True)
 class Crash:
-    """Hold one crash of an upstream.
+    """Represent one crash of an upstream.
 
     :param traits: traits of the lost requests.
     :param explained: whether one of them is barred.
--- a/packages/comfreyarch-core/src/comfreyarch_core/traitbars.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/traitbars.py
@@ -1,4 +1,4 @@
-"""Hold the bars of traits, each with an end and one probe after it."""
+"""Keep the bars of traits, each with an end and one probe after it."""
 
 import math
 from collections.abc import Iterable
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class TraitBar:
-    """Hold a bar.
+    """Represent a bar.
 
     :param until: time from which one request is sent as a probe.
     :param probed_at: time of the last probe.
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -9,13 +9,13 @@
 import pytest
 from direct_world import World, answering
 
-from comfreyarch_core.crashguard import (
+from comfreyarch_core.commonparts import (
     BAR_SCORE,
     MIN_ANSWERS,
     MIN_SENDS,
     NEW_ROUTE_SCORE,
-    make_crash_guard,
 )
+from comfreyarch_core.crashguard import make_crash_guard
 from comfreyarch_core.crashmessages import (
     ConnectionBroken,
     CrashObserved,
@@ -260,7 +260,7 @@
     for number in range(2 * MAX_TRAITS):
         guard.handle(RequestAnswered(TARGET, (f'part:{number}',)), 2)
     assert len(guard.scores.by_trait) <= MAX_TRAITS
-    assert len(guard.answered.traits) <= MAX_SHARES
+    assert len(guard.common_parts.answered.traits) <= MAX_SHARES
     crash(guard, 'u9', 3, BAD)
     assert set(guard.bars.by_trait) == {BAD}
     for number in range(3 * MAX_BARS):
--- a/tests/test_shared_crash_guard.py
+++ b/tests/test_shared_crash_guard.py
@@ -10,7 +10,7 @@
 from typer.testing import CliRunner
 
 from comfreyarch_cli.main import app
-from comfreyarch_core.crashguard import BAR_SCORE, MIN_ANSWERS
+from comfreyarch_core.commonparts import BAR_SCORE, MIN_ANSWERS
 from comfreyarch_core.crashmessages import PeerBar, PeerCrash, Target
 from comfreyarch_core.traitbars import BAR_S
 from comfreyarch_core.upstreamlist import UpstreamEntry
