Log and publish the request limits that upstreams announce

No entry read the limit, so no log could tell the hypotheses apart. The header is decoded, each entry tracks the state of each upstream by versions, and writes limit_started, limit_changed, limit_ended and limit_malformed, with gauges of limit and sends. No request is sent differently.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -191,6 +191,7 @@
             if not selector.announcements.is_leaving(entry):
                 self.forwarder.crash_guard.record_upstream_death(name)
         selector.update_upstreams(upstreams)
+        self.forwarder.limits.keep_only(names)
         self.dispatcher.serve_queues()
         self.forwarder.pool.keep_only(names)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -215,6 +215,7 @@
             if entries is not None:
                 self.entry.forwarder.entry_count.record(entries, boot_time())
             self.tables.report_ages()
+            self.entry.forwarder.limits.report()
             self.entry.forwarder.pool.trim()
 
     def check_era(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -26,6 +26,7 @@
 )
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
+from comfreyarch_daemon.sharedlimits import SharedLimits
 from comfreyarch_daemon.upstreamcalls import ConnectionPool, boot_time
 
 # Entries assumed to share the retry budget until they are counted.
@@ -135,6 +136,7 @@
     :param on_leaving: called with the name of an upstream whose answer
         announces that it leaves.
     :param crash_guard: bars what crashes upstreams.
+    :param limits: request limits that upstreams announce.
     :param retry_shares: retry budgets by service.
     :param senders: the requests that wait or are sent now.
     """
@@ -144,6 +146,7 @@
         'dispatcher',
         'entry_count',
         'header_codec',
+        'limits',
         'log',
         'metrics',
         'on_leaving',
@@ -173,6 +176,7 @@
         self.metrics = metrics
         self.pool = ConnectionPool()
         self.crash_guard = SharedCrashGuard(log, metrics)
+        self.limits = SharedLimits(self.selector, log, metrics)
         self.retry_shares: dict[str, RetryShare] = {}
         self.started_at = boot_time()
         self.entry_count = EntryCount(retry_limits.window_s)
@@ -195,12 +199,21 @@
         return share
 
     def record_announcements(
-        self, upstream: str, status: int, head: AnswerHead
+        self,
+        upstream: str,
+        status: int,
+        head: AnswerHead,
+        limit_version: int,
     ) -> None:
-        """Record what an upstream announces, also with another's answer."""
+        """Record what an upstream announces, also with another's answer.
+
+        :param limit_version: version of its limit known when the request of the
+            answer was sent.
+        """
         if status == MISDIRECTED_STATUS:
             # Another upstream made the answer.
             return
+        self.limits.record_answer(upstream, head, limit_version)
         if head.leaving:
             self.record_leaving(upstream)
         if status == UNAVAILABLE_STATUS and head.retry_after_s:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/headercodec.py
@@ -74,6 +74,9 @@
     :param leaving: whether the upstream announces that it leaves.
     :param retry_after_s: seconds after which to retry, None if not stated.
     :param forwarded: headers to forward to the caller unchanged.
+    :param request_limit: requests per second that the upstream takes from all
+        entries together, None if it states none.
+    :param malformed_limit: start of a stated limit that cannot be read.
     """
 
     attempt: str
@@ -85,6 +88,8 @@
     leaving: bool
     retry_after_s: float | None
     forwarded: Headers
+    request_limit: float | None = None
+    malformed_limit: str = ''
 
 
 class HeaderCodec(Protocol):
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/metrics.py
@@ -45,20 +45,28 @@
             self.counters[name] = counter
         (counter.labels(**labels) if labels else counter).inc(amount)
 
-    def gauge(self, name: str, level: float) -> None:
+    def gauge(self, name: str, level: float, **labels: str) -> None:
         """Set a gauge.
 
         :param name: metric name without the ``comfreyarch_`` prefix.
+        :param labels: label values; each call must use the same label names.
         """
         gauge = self.gauges.get(name)
         if gauge is None:
             gauge = Gauge(
                 f'comfreyarch_{name}',
                 name.replace('_', ' '),
+                tuple(labels),
                 registry=self.registry,
             )
             self.gauges[name] = gauge
-        gauge.set(level)
+        (gauge.labels(**labels) if labels else gauge).set(level)
+
+    def drop_gauge(self, name: str, **labels: str) -> None:
+        """Remove a gauge with labels whose subject is gone."""
+        gauge = self.gauges.get(name)
+        if gauge is not None:
+            gauge.remove(*labels.values())
 
     def record(self, name: str, seconds: float) -> None:
         """Record a duration in a histogram, which holds milliseconds."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -11,6 +11,7 @@
     SendTracker,
     make_send_tracker,
 )
+from comfreyarch_core.upstreamlimits import UNKNOWN_VERSION
 from comfreyarch_core.upstreamselection import UpstreamView
 from comfreyarch_core.waitqueue import Waiter
 from comfreyarch_daemon.answerparser import Answer
@@ -100,12 +101,21 @@
 class Exchange:
     """Represent one send of a request to one upstream, and its answer."""
 
-    __slots__ = ('answer', 'connection', 'head', 'view')
+    __slots__ = ('answer', 'connection', 'head', 'limit_version', 'view')
 
-    def __init__(self, view: UpstreamView, connection: Connection) -> None:
-        """Start without an answer."""
+    def __init__(
+        self,
+        view: UpstreamView,
+        connection: Connection,
+        limit_version: int,
+    ) -> None:
+        """Start without an answer.
+
+        :param limit_version: version of the upstream's limit known now.
+        """
         self.view = view
         self.connection = connection
+        self.limit_version = limit_version
         self.answer: Answer | None = None
         self.head: AnswerHead | None = None
 
@@ -243,8 +253,10 @@
         except BaseException:
             forwarder.dispatcher.release(view)
             raise
-        self.exchange = Exchange(view, connection)
+        limits = forwarder.limits
+        self.exchange = Exchange(view, connection, limits.version(name))
         self.retries.record_send()
+        limits.record_send(name)
         now = boot_time()
         forwarder.log.write(
             'sent',
@@ -325,10 +337,14 @@
         while True:
             answer = self.wait_for_head(exchange)
             head = self.forwarder.header_codec.read_answer(answer.headers)
+            is_own = head.attempt in {'', self.call.head.attempt}
             self.forwarder.record_announcements(
-                exchange.upstream, answer.status, head
+                exchange.upstream,
+                answer.status,
+                head,
+                exchange.limit_version if is_own else UNKNOWN_VERSION,
             )
-            if head.attempt in {'', self.call.head.attempt}:
+            if is_own:
                 break
             self.skip_stray_answer(exchange, answer, head)
         exchange.answer = answer
