Let a stream that has run for long wait for a slot to be resumed

A stream's patience was counted from its request, so one that broke 2 s later or more was cut off unless another upstream had a free slot at that moment; with limited upstreams it also has to wait for a permit. It now counts from the last event, as callers do. The new test ended with a cut stream on the former code.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -134,6 +134,7 @@
     :param last_upstream: name of the upstream of the last send.
     :param final_error: error answer to forward because no further send
         follows.
+    :param progress_at: time of the last event, of the request before the first.
     :param retries: accounts the retries of this request.
     :param crashes: reports to the crash guard.
     """
@@ -147,6 +148,7 @@
         'has_started',
         'last_error',
         'last_upstream',
+        'progress_at',
         'retries',
         'splitter',
         'tracker',
@@ -165,6 +167,7 @@
         self.exchange: Exchange | None = None
         self.last_error: tuple[AnswerStart, bytes] | None = None
         self.has_started = False
+        self.progress_at = call.received_at
         self.last_upstream = ''
         self.final_error: tuple[AnswerStart, bytes] | None = None
         self.retries = RequestRetries(forwarder, call.service)
@@ -298,14 +301,16 @@
         """
         call = self.call
         route = call.route
-        patience_s = call.deadline - call.received_at
+        since = self.progress_at
+        target_s = route.gap_target_s if self.has_started else route.target_s
+        patience_s = call.deadline - since
         if route.kind == RouteKind.streaming:
             patience_s = min(patience_s, stream_patience_s(route))
         waiter = Waiter(
             call.service,
             call.urgency,
-            call.received_at + route.target_s - TYPICAL_FIRST_BYTE_S,
-            call.received_at + patience_s - TYPICAL_FIRST_BYTE_S,
+            since + target_s - TYPICAL_FIRST_BYTE_S,
+            since + patience_s - TYPICAL_FIRST_BYTE_S,
             frozenset(self.tracker.tried),
             call.pass_count,
             call.deadline,
@@ -470,6 +475,7 @@
             events = splitter.feed(answer.take())
             if events:
                 has_events = True
+                self.progress_at = boot_time()
                 self.crashes.record_event()
                 if not self.has_started:
                     self.has_started = True
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -2,7 +2,7 @@
 
 import pytest
 from direct_world import SIGNED, World, answering, parse, reply
-from gevent import sleep, spawn
+from gevent import sleep, spawn, spawn_later
 from gevent.event import Event
 
 from comfreyarch_core.routetable import CallerLimits
@@ -203,6 +203,31 @@
         assert headers['x-server-signature'] == 's'
 
 
+# Fails if a stream that has run for longer than callers wait for its begin is cut
+# off, as no upstream can go on with it at once.
+def test_a_long_stream_waits_for_a_slot_to_be_resumed():
+    def script(_upstream, sock, request):
+        attempt = request[1]['x-attempt-id']
+        head = (
+            f'HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\n{SIGNED}'
+            f'Content-Type: text/event-stream\r\nContent-Length: 9000\r\n\r\n'
+        )
+        sock.sendall(head.encode())
+        for number in range(5):
+            sock.sendall(event(number))
+            sleep(0.5)
+        return 'close'
+
+    with World(script, stream(0, 7)) as world:
+        dispatcher = world.entry.dispatcher
+        view = dispatcher.selector.views['u1']
+        view.in_flight = view.entry.slots
+        spawn_later(2.8, dispatcher.release, view)
+        status, _, body = world.call('/stream/')
+        assert status == 200
+        assert body == b''.join(event(number) for number in range(7))
+
+
 def test_another_stream_is_cut_off_and_never_looks_complete():
     with World(stream(0, 5, 40), stream(0, 5)) as world:
         world.entry.forwarder.selector.views['u1'].in_flight = 1
