--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -7,7 +7,7 @@
 
 import typer
 
-from comfreyarch_cli import bars, changes, reports, requesttrace
+from comfreyarch_cli import bars, changes, limits, reports, requesttrace
 from comfreyarch_cli.access import list_instances, open_store, read_pages
 from comfreyarch_cli.errors import CommandError, ExitCode
 from comfreyarch_cli.output import print_json, print_line, print_table
@@ -86,8 +86,25 @@
 
 
 @app.command()
-def status(store: StoreOption, *, as_json: JsonOption = False) -> None:
+def status(
+    store: StoreOption = '',
+    *,
+    entries: Annotated[
+        list[str] | None,
+        typer.Option(
+            '--entry',
+            help='Show the request limits known to the entry whose metrics'
+            ' are at HOST:PORT, instead of the nodes.',
+        ),
+    ] = None,
+    as_json: JsonOption = False,
+) -> None:
     """Show all nodes, whether they are ready, and their revision."""
+    if entries:
+        limits.show_limits(entries, as_json=as_json)
+        return
+    if not store:
+        raise CommandError('status needs --store, or --entry for limits')
     node_pages = list(read_pages(list_instances(open_store(store)), '/status'))
     if as_json:
         print_json(
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -8,7 +8,6 @@
 from gevent.event import Event
 
 from comfreyarch_core.fleetload import EntryLoad
-from comfreyarch_daemon.barspage import OperatorPages
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.directentry import DirectEntry
 from comfreyarch_daemon.eventlog import EventLog
@@ -26,6 +25,7 @@
     make_page_server,
 )
 from comfreyarch_daemon.nodeprocess import NodeControls, run_node
+from comfreyarch_daemon.operatorpages import OperatorPages
 from comfreyarch_daemon.settings import SettingsError
 from comfreyarch_daemon.settingsfile import SettingsFileWatcher
 from comfreyarch_daemon.tablelisteners import (
@@ -118,6 +118,7 @@
                 OperatorPages(
                     MetricsPage(self.metrics),
                     self.entry.forwarder.crash_guard,
+                    self.entry.forwarder.limits,
                 ),
             ),
         ]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/barspage.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/operatorpages.py
@@ -1,4 +1,4 @@
-"""Serve the bars of an entry to operators, who may lift them."""
+"""Serve the bars and request limits of an entry to operators."""
 
 import json
 from typing import Any
@@ -10,29 +10,35 @@
     MetricsPage,
 )
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
+from comfreyarch_daemon.sharedlimits import SharedLimits
 from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 BARS_PATH = '/bars'
 LIFT_PATH = '/bars/lift'
+LIMITS_PATH = '/limits'
 METHOD_NOT_ALLOWED_STATUS = 405
 
 
 class OperatorPages:
-    """Serve the bars, and the metrics at all other paths.
+    """Serve bars and limits, and the metrics at all other paths.
 
     ``GET /bars`` lists the bars; ``POST /bars/lift?trait=…`` lifts one at all
-    entries.
+    entries. ``GET /limits`` lists the request limits that upstreams announce.
     """
 
-    __slots__ = ('crash_guard', 'metrics_page')
+    __slots__ = ('crash_guard', 'limits', 'metrics_page')
 
     def __init__(
-        self, metrics_page: MetricsPage, crash_guard: SharedCrashGuard
+        self,
+        metrics_page: MetricsPage,
+        crash_guard: SharedCrashGuard,
+        limits: SharedLimits,
     ) -> None:
-        """Serve the given page and the bars of the given guard."""
+        """Serve the given page, and what the given parts know."""
         self.metrics_page = metrics_page
         self.crash_guard = crash_guard
+        self.limits = limits
 
     def __call__(
         self,
@@ -46,6 +52,8 @@
         path = environ['PATH_INFO']
         if path == BARS_PATH:
             return send_json(start_response, OK_STATUS, self.list_bars())
+        if path == LIMITS_PATH:
+            return send_json(start_response, OK_STATUS, self.limits.page())
         if path != LIFT_PATH:
             return self.metrics_page(environ, start_response)
         if environ['REQUEST_METHOD'] != 'POST':
--- a/tests/test_announced_limits.py
+++ b/tests/test_announced_limits.py
@@ -1,11 +1,15 @@
 """Test what an entry learns of the request limits that upstreams announce."""
 
+import json
 import math
 from dataclasses import replace
 
 import pytest
 from direct_world import World, answering
+from typer.testing import CliRunner
 
+from comfreyarch_cli.errors import CommandError
+from comfreyarch_cli.main import app
 from comfreyarch_core.upstreamlimits import (
     CONFIRMATION_INTERVAL_S,
     MAX_RATE_PER_S,
@@ -16,6 +20,8 @@
     make_upstream_limits,
 )
 from comfreyarch_core.upstreamlist import UpstreamEntry
+from comfreyarch_daemon.monitoringpages import MetricsPage, make_page_server
+from comfreyarch_daemon.operatorpages import OperatorPages
 from comfreyarch_platform.callheaders import PlatformHeaderCodec
 
 ENTRY = UpstreamEntry('u0', 's', '10.0.0.1:80', 'z', 6, False, started_ms=5)
@@ -220,3 +226,26 @@
         assert world.entry.forwarder.limits.control.limits.limited() == {
             'u0': 2
         }
+
+
+def test_operators_see_the_limits():
+    with World(answering(extra='Server-Limit: 2\r\n')) as world:
+        world.call('/safe/x')
+        forwarder = world.entry.forwarder
+        pages = OperatorPages(
+            MetricsPage(world.entry.metrics),
+            forwarder.crash_guard,
+            forwarder.limits,
+        )
+        server = make_page_server('127.0.0.1:0', pages)
+        server.start()
+        address = f'127.0.0.1:{server.server_port}'
+        runner = CliRunner()
+        shown = runner.invoke(app, ['status', '--entry', address, '--json'])
+        table = runner.invoke(app, ['status', '--entry', address])
+        unknown = runner.invoke(app, ['status', '--entry', '127.0.0.1:1'])
+        server.stop(timeout=0)
+    (limit,) = json.loads(shown.output)[address]
+    assert limit == {'upstream': 'u0', 'limit_per_s': 2, 'sends_per_s': 0}
+    assert 'u0' in table.output
+    assert isinstance(unknown.exception, CommandError)
--- a/tests/test_shared_crash_guard.py
+++ b/tests/test_shared_crash_guard.py
@@ -14,12 +14,15 @@
 from comfreyarch_core.crashmessages import PeerBar, PeerCrash, Target
 from comfreyarch_core.traitbars import BAR_S
 from comfreyarch_core.upstreamlist import UpstreamEntry
-from comfreyarch_daemon.barspage import OperatorPages
+from comfreyarch_core.upstreamselection import make_upstream_selector
 from comfreyarch_daemon.crashgossip import BARS, CRASH, LIFTED
 from comfreyarch_daemon.datagrams import DECODE_ERRORS
+from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.monitoringpages import MetricsPage, make_page_server
+from comfreyarch_daemon.operatorpages import OperatorPages
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
+from comfreyarch_daemon.sharedlimits import SharedLimits
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 TARGET = Target('s', '/safe/')
@@ -217,7 +220,9 @@
     guard = network.guard('e0')
     network.guard('e1').gossip.receive_bars([BARS, [[BAD, 0, BAR_S]]], 'e0')
     guard.gossip.receive_bars([BARS, [[BAD, 0, BAR_S]]], 'e1')
-    pages = OperatorPages(MetricsPage(guard.metrics), guard)
+    dispatcher = Dispatcher(make_upstream_selector('z', 1))
+    limits = SharedLimits('e', dispatcher, guard.log, guard.metrics)
+    pages = OperatorPages(MetricsPage(guard.metrics), guard, limits)
     server = make_page_server('127.0.0.1:0', pages)
     server.start()
     address = f'127.0.0.1:{server.server_port}'
