Soak: servers that announce a request limit, and a check of what they get

The check counts, as the users' rule does, the requests of entries that passed the limit on 0.5 s before and that no fault affected.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -38,6 +38,12 @@
 TOLERATED_IN_HOLD = 2
 # From the announcement of a planned stop until the process may be killed.
 GRACE_PERIOD_S = 8.0
+# Window of a server's request limit, and how far it may be exceeded in one, from
+# the time on which an entry is taken to know it.
+LIMIT_WINDOW_S = 4.0
+LIMIT_RATIO = 1.5
+LIMIT_SLACK = 5
+KNOWN_LIMIT_DELAY_S = 0.5
 # Crashes by one part of prompts after which it is known, and the number of later
 # requests with it that is tolerated.
 KNOWN_CRASHES = 5
@@ -150,6 +156,7 @@
         sent_to_draining,
         sent_after_announcement,
         sent_within_hold,
+        over_limit,
         sent_with_crashing_part,
     )
     guarantees = (*untimed, *time_bound) if timed else untimed
@@ -459,6 +466,65 @@
     return violations
 
 
+def over_limit(evidence: Evidence) -> list[str]:
+    """Find servers that got more requests than the limit that they announced."""
+    sent = {record.attempt: record for record in evidence.records}
+    spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    arrivals: dict[str, list[tuple[float, str]]] = defaultdict(list)
+    for run in evidence.runs:
+        if 'limit' in run:
+            spans[run['server']].append((run['at'], run['limit']))
+        record = sent.get(run.get('attempt') or run.get('rejected') or '')
+        if record is not None:
+            arrived = run.get('arrived', run['at'])
+            arrivals[run['server']].append((arrived, record.entry))
+    violations = []
+    for server, changes in spans.items():
+        ends = [*(at for at, _ in changes[1:]), float('inf')]
+        for (start, limit), end in zip(changes, ends, strict=True):
+            told = told_of_limit(evidence, server, start, end)
+            counted = sorted(
+                at
+                for at, entry in arrivals[server]
+                if start + CONTACT_RECOVERY_S <= at < end
+                and at >= told.get(entry, end) + KNOWN_LIMIT_DELAY_S
+                and evidence.is_unaffected(entry, at - LIMIT_WINDOW_S, at)
+            )
+            most = max(
+                (
+                    sum(at <= other < at + LIMIT_WINDOW_S for other in counted)
+                    for at in counted
+                ),
+                default=0,
+            )
+            allowed = LIMIT_RATIO * limit * LIMIT_WINDOW_S + LIMIT_SLACK
+            if limit and most > allowed:
+                violations.append(
+                    f'{server} announced {limit} a second and got {most} requests'
+                    f' in {LIMIT_WINDOW_S:.0f} s'
+                )
+    return violations
+
+
+def told_of_limit(
+    evidence: Evidence, server: str, start: float, end: float
+) -> dict[str, float]:
+    """Find when entries first passed on a server's limit in an interval.
+
+    :returns: time by entry.
+    """
+    told: dict[str, float] = {}
+    for record in evidence.records:
+        if (
+            record.headers.get('server-limit')
+            and record.headers.get('x-server-signature') == server
+            and start <= record.ended_at < end
+        ):
+            known_at = told.get(record.entry, record.ended_at)
+            told[record.entry] = min(known_at, record.ended_at)
+    return told
+
+
 def sent_with_crashing_part(evidence: Evidence) -> list[str]:
     """Find parts that crashed servers and reached more of them later."""
     sent = {record.attempt: record for record in evidence.records}
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -27,6 +27,10 @@
 LINK_MODES = ('silent', 'deaf', 'mute', 'delay', 'refuse')
 # Callers send requests with a crashing part at least for this time.
 CRASHING_PART_S = 8.0
+# Servers announce a limit for a multiple of a fault's time, as it is checked only
+# some seconds after it began.
+LIMIT_DURATIONS = 4
+MAX_LIMIT_PER_S = 4.0
 # Mean pause of a caller between requests during a burst.
 BURST_PAUSE_S = 0.01
 # A program can't handle SIGHUP until its interpreter runs the first line; a
@@ -97,6 +101,7 @@
             'pause-server': self.pause_server,
             'trouble': self.fail_answers,
             'hold-server': self.hold_server,
+            'limit-server': self.limit_server,
             'link': self.impair_link,
             'reset': self.break_connections,
             'store': self.impair_store,
@@ -270,6 +275,18 @@
         command = {'do': 'hold', 'for_s': duration_s}
         self.fleet.programs[name].send_command(command)
 
+    def limit_server(self, duration_s: float) -> None:
+        """Make servers announce a request limit, which may change."""
+        name = self.rng.choice(self.fleet.servers)
+        length_s = duration_s * LIMIT_DURATIONS
+        self.record_fault('limit-server', name, length_s)
+        program = self.fleet.programs[name]
+        for _ in range(self.rng.randint(1, 2)):
+            limit = round(self.rng.uniform(0.3, MAX_LIMIT_PER_S), 2)
+            program.send_command({'do': 'limit', 'per_s': limit})
+            gevent.sleep(length_s)
+        program.send_command({'do': 'limit', 'per_s': 0})
+
     def impair_link(self, duration_s: float) -> None:
         """Impair one link."""
         name = self.rng.choice(self.fleet.links)
--- a/soak/server.py
+++ b/soak/server.py
@@ -78,6 +78,7 @@
     :param heartbeats: number of rows written so far, its sequence.
     :param held_until: Unix time until which requests are refused with the time
         after which to retry.
+    :param limit: announced limit in requests per second, 0 for none.
     :param born: Unix time of the start, in ms.
     """
 
@@ -93,6 +94,7 @@
     waiting: int = 0
     heartbeats: int = 0
     held_until: float = 0
+    limit: float = 0
     born: int = field(default_factory=lambda: int(time.time() * 1000))
     slots: Any = None
     listener: Any = None
@@ -289,6 +291,8 @@
             f'{self.row["slots"]}',
             'Keep-Alive': f'timeout={IDLE_TIMEOUT_S}',
         }
+        if self.limit:
+            headers['Server-Limit'] = f'{self.limit:.2f}'
         if self.row['state'] != 'ready':
             headers['Connection'] = 'close'
             headers.update(LEAVING)
@@ -374,6 +378,11 @@
         for server in servers:
             server.held_until = time.time() + command['for_s']
         return
+    if command['do'] == 'limit':
+        for server in servers:
+            server.limit = command['per_s']
+            server.write_event({'limit': server.limit})
+        return
     if command['do'] == 'trouble':
         for server in servers:
             server.answer_fault = AnswerFault(command['how'], command['share'])
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -173,6 +173,28 @@
     assert not check(evidence)
 
 
+# Fails if the soak does not see that a server got more than its announced limit.
+def test_a_server_that_announced_a_limit():
+    headers = {**make_record().headers, 'server-limit': '1.00'}
+    told = make_record(attempt='b', at=95.0, ended_at=95.5, headers=headers)
+    evidence = make_evidence(make_record(), [])
+    evidence.records.append(told)
+    evidence.runs.append({'server': 's', 'at': 95, 'limit': 1})
+    evidence.runs.extend(make_run(arrived=99 + n / 4) for n in range(12))
+
+    def found():
+        return [line for line in check(evidence) if 'limit' in line]
+
+    assert found() == [
+        'over_limit: s announced 1 a second and got 12 requests in 4 s'
+    ]
+    evidence.faults.append(Fault('pause', 'entry-0', 97, 98))
+    assert not found()
+    evidence.faults.clear()
+    evidence.runs.append({'server': 's', 'at': 100, 'limit': 0})
+    assert not found()
+
+
 # Fails if the soak does not see requests with a part that crashed servers.
 def test_a_part_that_crashed_five_servers():
     evidence = make_evidence(make_record(crashing_part='crash1'), [])
