End shares of team limits with the ask, and quotas of zones with their grant

Grants now repeat the time of the ask by the asker's clock, and a zone's quota ends with its grant. Grants of earlier releases, which repeat none, count from their arrival as before.

--- a/packages/comfreyarch-core/src/comfreyarch_core/frames.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/frames.py
@@ -186,19 +186,22 @@
 
     ``want`` is the demand in requests per second, ``open`` the demand in open
     requests. ``level`` is empty if an entry asks and ``zone`` if the home of
-    an availability zone does.
+    an availability zone does. ``asked_ms`` is the time of the ask by the clock of
+    its sender, which the grant repeats.
     """
 
     team: str
     want: float
     open: int
     level: str = ''
+    asked_ms: int = 0
 
 
 class ShareGrant(Frame, frozen=True):
-    """Grant a share of a team's limits for ``ttl_ms``.
+    """Grant a share of a team's limits for ``ttl_ms`` from ``asked_ms`` on.
 
-    ``rate`` is in requests per second, ``open`` in open requests.
+    ``rate`` is in requests per second, ``open`` in open requests. ``asked_ms`` is
+    0 from earlier releases; the share then counts from its arrival.
     """
 
     team: str
@@ -206,6 +209,7 @@
     open: float
     ttl_ms: int
     level: str = ''
+    asked_ms: int = 0
 
 
 class Accused(Frame, frozen=True):
--- a/packages/comfreyarch-core/src/comfreyarch_core/limits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limits.py
@@ -4,10 +4,12 @@
 number of entries. The team's home entry grants the rest, for short terms,
 to one home entry in each availability zone, which grants it to the entries
 of its zone. Both levels are a ``QuotaAllocator``, which grants only what its
-unexpired grants leave of its quota. An entry that cannot reach its home has
+unexpired grants leave of its quota. A zone's quota expires like a grant to an
+entry, so what its home grants does too. An entry that cannot reach its home has
 only its static share.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from comfreyarch_core.refusals import Kind, Refusal, not_run
@@ -58,12 +60,14 @@
 
     :param rate: the quota in requests per second.
     :param open: the quota in open requests.
+    :param until: end of the quota, a monotonic time in seconds.
     :param grants: unexpired grants by child.
     :param demands: last demand by child.
     """
 
     rate: float
     open: float
+    until: float = math.inf
     grants: dict[str, Grant] = field(default_factory=dict)
     demands: dict[str, Demand] = field(default_factory=dict)
 
@@ -76,6 +80,9 @@
         """
         self.expire(now)
         self.demands[child] = demand
+        if self.until <= now:
+            self.grants.pop(child, None)
+            return NO_GRANT
         others = [held for name, held in self.grants.items() if name != child]
         free_rate = self.rate - sum(other.rate for other in others)
         free_open = self.open - sum(other.open for other in others)
@@ -84,15 +91,21 @@
         grant = Grant(
             max(0, min(free_rate, fair_share(self.rate, rates, demand.rate))),
             max(0, min(free_open, fair_share(self.open, opens, demand.open))),
-            now + GRANT_TTL_S,
+            min(now + GRANT_TTL_S, self.until),
         )
         self.grants[child] = grant
         return grant
 
-    def resize(self, rate: float, open_requests: float) -> None:
-        """Set a new quota; grants that exceed it stay until they expire."""
+    def resize(
+        self, rate: float, open_requests: float, until: float = math.inf
+    ) -> None:
+        """Set a new quota; grants that exceed it stay until they expire.
+
+        :param until: end of the quota, a monotonic time in seconds.
+        """
         self.rate = rate
         self.open = open_requests
+        self.until = until
 
     def demand(self) -> Demand:
         """Add up the demands of the children.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/teamlimiter.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/teamlimiter.py
@@ -14,7 +14,6 @@
 from comfreyarch_core import frames
 from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.limits import (
-    GRANT_TTL_S,
     STATIC_FRACTION,
     Demand,
     Grant,
@@ -188,7 +187,15 @@
                 team, self.location.node, demand, now
             )
             return
-        self.send(home, frames.ShareAsk(team, demand.rate, round(demand.open)))
+        self.send(
+            home,
+            frames.ShareAsk(
+                team,
+                demand.rate,
+                round(demand.open),
+                asked_ms=round(now * MS_PER_S),
+            ),
+        )
 
     def grant_to_entry(
         self,
@@ -223,9 +230,15 @@
                 demand,
                 now,
             )
-            allocator.resize(grant.rate, grant.open)
+            allocator.resize(grant.rate, grant.open, grant.until)
             return
-        ask = frames.ShareAsk(team, demand.rate, round(demand.open), ZONE_LEVEL)
+        ask = frames.ShareAsk(
+            team,
+            demand.rate,
+            round(demand.open),
+            ZONE_LEVEL,
+            round(now * MS_PER_S),
+        )
         self.send(team_home, ask)
 
     def grant_to_zone(
@@ -271,20 +284,27 @@
             ask.team,
             grant.rate,
             grant.open,
-            round(GRANT_TTL_S * MS_PER_S),
+            max(0, round((grant.until - now) * MS_PER_S)),
             ask.level,
+            ask.asked_ms,
         )
 
     def apply_grant(self, grant: frames.ShareGrant, now: float) -> None:
-        """Apply a grant from a home and wake the requests that wait for it."""
+        """Apply a grant from a home and wake the requests that wait for it.
+
+        One that has ended on its way, or while this process did not run, is void.
+        """
+        asked_at = grant.asked_ms / MS_PER_S if grant.asked_ms else now
+        until = asked_at + grant.ttl_ms / MS_PER_S
+        if until <= now:
+            return
         if grant.level == ZONE_LEVEL:
             allocator = self.zone_allocators.get(grant.team)
             if allocator is not None:
-                allocator.resize(grant.rate, grant.open)
+                allocator.resize(grant.rate, grant.open, until)
             return
         gate = self.gates.get(grant.team)
         if gate is not None:
-            until = now + grant.ttl_ms / MS_PER_S
             gate.grant = Grant(grant.rate, grant.open, until)
             grant_event = self.grant_events.pop(grant.team, None)
             if grant_event is not None:
