--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
@@ -26,9 +26,10 @@
 )
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Limit on the reports sent by an entry; the time between two grows with the
-# number of peers.
+# Limits on the reports sent by an entry, without and with those of changes; the
+# time between two grows with the number of peers.
 MAX_REPORTS_PER_S = 150.0
+MAX_CHANGES_PER_S = 1000.0
 # Least pause between two rounds.
 MIN_PAUSE_S = 0.005
 
@@ -42,18 +43,18 @@
         peer that reported them.
     :param on_permits: called after permits arrived.
     :param wake: set to send a report, or to answer asks.
-    :param is_report_due: whether a report is to be sent at once.
-    :param next_report_at: time of the next regular report.
+    :param has_changed: whether a report is to be sent before it is due.
+    :param last_report_at: time of the last report.
     :param has_new_permits: whether ``on_permits`` is to be called.
     """
 
     __slots__ = (
         'control',
         'datagrams',
+        'has_changed',
         'has_new_permits',
-        'is_report_due',
+        'last_report_at',
         'listed',
-        'next_report_at',
         'on_changes',
         'on_permits',
         'peers',
@@ -76,8 +77,8 @@
         self.datagrams: Datagrams | None = None
         self.peers: Mapping[str, str] = {}
         self.wake = Event()
-        self.is_report_due = False
-        self.next_report_at = 0.0
+        self.has_changed = False
+        self.last_report_at = 0.0
         self.has_new_permits = False
         self.worker: gevent.Greenlet | None = None
 
@@ -117,24 +118,32 @@
         """
         if not self.control.is_active(now):
             return None
-        due_s = min(self.next_report_at - now, self.control.next_issue_s(now))
-        return max(0, due_s)
+        next_report_s = self.last_report_at + self.interval_s() - now
+        return max(0, min(next_report_s, self.control.next_issue_s(now)))
+
+    def interval_s(self) -> float:
+        """Return the time between the last report and the next one.
+
+        :returns: seconds, fewer after a change.
+        """
+        if self.has_changed:
+            return len(self.peers) / MAX_CHANGES_PER_S
+        return max(REPORT_INTERVAL_S, len(self.peers) / MAX_REPORTS_PER_S)
 
     def request_report(self) -> None:
-        """Have a report sent at once."""
-        self.is_report_due = True
+        """Have a report sent before it is due."""
+        self.has_changed = True
         self.wake.set()
 
     def send_due_report(self, now: float) -> None:
         """Send a report to all peers if it is due and there is anything to say."""
-        if not self.control.is_active(now):
+        if now < self.last_report_at + self.interval_s():
             return
-        if not self.is_report_due and now < self.next_report_at:
+        if not self.control.is_active(now):
             return
-        self.is_report_due = False
-        interval_s = max(REPORT_INTERVAL_S, len(self.peers) / MAX_REPORTS_PER_S)
-        self.control.shares.interval_s = interval_s
-        self.next_report_at = now + interval_s
+        self.has_changed = False
+        self.last_report_at = now
+        self.control.shares.interval_s = self.interval_s()
         report = encode_report(self.control.make_report(now))
         for address in self.peers.values():
             self.send(report, address)
