Split permits and dispatching, and share the listing of entries' pages

No change of behaviour: permit stock, errors of the dispatcher and the protocol for permits in modules of their own; bars and limits are printed by one function.

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/access.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/access.py
@@ -85,6 +85,21 @@
     return int(response.status_code), page
 
 
+def read_listing(entry: str, path: str) -> list[dict[str, Any]]:
+    """Read what an entry lists at one of its pages.
+
+    :param entry: address of its metrics, ``host:port``.
+    :returns: a row for each item.
+    :raises CommandError: if the entry lists nothing there.
+    """
+    status, listed = fetch_json(entry, 'GET', path)
+    if status != HTTP_OK or not isinstance(listed, list):
+        raise CommandError(
+            f'{entry} does not list {path}; give the address of its metrics'
+        )
+    return listed
+
+
 def read_pages(
     instances: Iterable[Instance],
     path: str,
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/bars.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/bars.py
@@ -5,9 +5,9 @@
 
 import typer
 
-from comfreyarch_cli.access import HTTP_OK, fetch_json
+from comfreyarch_cli.access import HTTP_OK, fetch_json, read_listing
 from comfreyarch_cli.errors import CommandError
-from comfreyarch_cli.output import print_json, print_line, print_table
+from comfreyarch_cli.output import print_line, print_listings
 
 COLUMNS = ('trait', 'age_s', 'left_s', 'crashes')
 
@@ -31,27 +31,8 @@
     if lift:
         lift_bar(entries, lift)
         return
-    pages = {entry: read_bars(entry) for entry in entries}
-    if as_json:
-        print_json(pages)
-        return
-    for entry, listed in pages.items():
-        rows = [[listed_bar[name] for name in COLUMNS] for listed_bar in listed]
-        print_table(f'Bars of {entry}', COLUMNS, rows)
-
-
-def read_bars(entry: str) -> list[dict[str, object]]:
-    """Read the bars of an entry.
-
-    :returns: a row for each.
-    :raises CommandError: if the entry does not list them.
-    """
-    status, listed = fetch_json(entry, 'GET', '/bars')
-    if status != HTTP_OK or not isinstance(listed, list):
-        raise CommandError(
-            f'{entry} does not list its bars; give the address of its metrics'
-        )
-    return listed
+    pages = {entry: read_listing(entry, '/bars') for entry in entries}
+    print_listings(pages, 'Bars of', COLUMNS, as_json=as_json)
 
 
 def lift_bar(entries: list[str], trait: str) -> None:
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/output.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/output.py
@@ -38,3 +38,23 @@
     for row in rows:
         table.add_row(*(str(cell) for cell in row))
     Console().print(table)
+
+
+def print_listings(
+    pages: dict[str, list[dict[str, object]]],
+    title: str,
+    columns: tuple[str, ...],
+    *,
+    as_json: bool,
+) -> None:
+    """Print what entries list, a table for each, or all as JSON.
+
+    :param pages: rows by entry.
+    :param title: title of a table, which the entry's address follows.
+    """
+    if as_json:
+        print_json(pages)
+        return
+    for entry, listed in pages.items():
+        rows = [[item[name] for name in columns] for item in listed]
+        print_table(f'{title} {entry}', columns, rows)
--- a/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
@@ -20,10 +20,9 @@
     Demand,
     Grant,
     PermitIssuer,
-    PermitStock,
     make_permit_issuer,
-    make_permit_stock,
 )
+from comfreyarch_core.permitstock import PermitStock, make_permit_stock
 from comfreyarch_core.upstreamlimits import (
     LimitChange,
     LimitState,
--- a/packages/comfreyarch-core/src/comfreyarch_core/limitshares.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limitshares.py
@@ -45,7 +45,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitReport:
-    """Hold what an entry tells the others about limits.
+    """Represent what an entry reports to the others about limits.
 
     :param incarnation: random number drawn when the entry's process starts.
     :param sequence: increases with each report of one incarnation.
--- a/packages/comfreyarch-core/src/comfreyarch_core/permits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/permits.py
@@ -1,4 +1,4 @@
-"""Issue and keep permits, each of which allows one send to a limited upstream.
+"""Issue permits, each of which allows one send to a limited upstream.
 
 An entry asks an upstream's holder for a permit and gets it when the holder's rate
 allows it. Asks of requests that wait go first, in the order in which they would be
@@ -14,8 +14,6 @@
 
 # Time from its ask for which a permit is valid, and an ask is kept.
 PERMIT_TTL_S = 1.0
-# Time after which an ask without an answer is repeated.
-ASK_INTERVAL_S = 0.25
 # Size of a holder's bucket, as the time in which it fills, and its least size: a
 # token for its own requests and one to give away.
 BURST_S = 0.25
@@ -215,92 +213,9 @@
     return (not ask.demand.waiting, ask.demand.order, until)
 
 
-@dataclass(slots=True)
-class PermitStock:
-    """Hold the permits of an entry and its open asks.
-
-    :param permits: ends of the valid permits, by upstream.
-    :param sent_at: when the unanswered asks were sent, by upstream and number.
-    :param number: number of the last ask.
-    """
-
-    permits: dict[str, list[float]] = field(default_factory=dict)
-    sent_at: dict[str, dict[int, float]] = field(default_factory=dict)
-    number: int = 0
-
-    def has(self, upstream: str, now: float) -> bool:
-        """Check whether there is a valid permit for an upstream.
-
-        :returns: False if none is left.
-        """
-        return any(until > now for until in self.permits.get(upstream, ()))
-
-    def take(self, upstream: str, now: float) -> float:
-        """Use the permit that ends first.
-
-        :returns: its end.
-        :raises LookupError: if there is none.
-        """
-        valid = sorted(
-            until for until in self.permits.pop(upstream, ()) if until > now
-        )
-        if not valid:
-            raise LookupError(
-                f'no permit for upstream {upstream!r}; check has() before'
-            )
-        if len(valid) > 1:
-            self.permits[upstream] = valid[1:]
-        return valid[0]
-
-    def next_ask(self, upstream: str, now: float) -> int | None:
-        """Number the next ask for an upstream, if one is due.
-
-        :returns: None if there are permits, or a recent ask.
-        """
-        if self.has(upstream, now):
-            return None
-        asked = {
-            number: sent_at
-            for number, sent_at in self.sent_at.get(upstream, {}).items()
-            if now - sent_at < PERMIT_TTL_S
-        }
-        if asked and now - max(asked.values()) < ASK_INTERVAL_S:
-            return None
-        self.number += 1
-        self.sent_at[upstream] = {**asked, self.number: now}
-        return self.number
-
-    def handle(self, grant: Grant, now: float) -> bool:
-        """Add the permits of an answer to an ask, once.
-
-        :returns: False if they are void.
-        """
-        sent_at = self.sent_at.get(grant.upstream, {}).pop(grant.number, None)
-        if sent_at is None or now >= sent_at + PERMIT_TTL_S:
-            return False
-        until = sent_at + PERMIT_TTL_S
-        self.permits.setdefault(grant.upstream, []).extend(
-            [until] * grant.permits
-        )
-        return True
-
-    def forget(self, upstream: str) -> None:
-        """Forget an upstream whose limit has ended."""
-        self.permits.pop(upstream, None)
-        self.sent_at.pop(upstream, None)
-
-
 def make_permit_issuer(source: random.Random) -> PermitIssuer:
     """Create an issuer.
 
     :returns: an issuer without asks.
     """
     return PermitIssuer(source)
-
-
-def make_permit_stock() -> PermitStock:
-    """Create a stock.
-
-    :returns: a stock without permits.
-    """
-    return PermitStock()
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlimits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlimits.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitState:
-    """Hold what is known of one upstream's limit.
+    """Represent what is known of one upstream's limit.
 
     :param rate: requests per second, infinite without a limit.
     :param version: orders the states of one process of the upstream.
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -12,7 +12,6 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 from comfreyarch_core.announcements import (
     UpstreamAnnouncements,
@@ -21,6 +20,7 @@
 from comfreyarch_core.circuitbreaker import CircuitBreaker, make_circuit_breaker
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
+from comfreyarch_core.sendpermits import SendPermits, Unlimited
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
 # Half-life of the weight of strays: requests that an upstream reports and no
@@ -58,43 +58,6 @@
 NO_UPSTREAMS: frozenset[str] = frozenset()
 
 
-class SendPermits(Protocol):
-    """Limit the sends to upstreams that announce a request limit."""
-
-    @property
-    def is_idle(self) -> bool:
-        """Check that no upstream is limited."""
-
-    def rate(self, entry: UpstreamEntry) -> float:
-        """Return an upstream's limit, infinite without one."""
-
-    def may_send(self, entry: UpstreamEntry, now: float) -> bool:
-        """Check whether an upstream may get a request of this entry now."""
-
-    def use_permit(self, entry: UpstreamEntry, now: float) -> float:
-        """Use a permit for a request; return the time to send it by."""
-
-
-class Unlimited:
-    """Allow all sends, as long as nothing tracks the limits."""
-
-    __slots__ = ()
-
-    is_idle = True
-
-    def rate(self, _entry: UpstreamEntry) -> float:
-        """Return an infinite limit."""
-        return math.inf
-
-    def may_send(self, _entry: UpstreamEntry, _now: float) -> bool:
-        """Allow a send."""
-        return True
-
-    def use_permit(self, _entry: UpstreamEntry, _now: float) -> float:
-        """Return no time to send by."""
-        return math.inf
-
-
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Hold the load that an upstream reports with an answer, in requests."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -14,6 +14,7 @@
     UpstreamView,
 )
 from comfreyarch_core.waitqueue import Waiter, WaitQueue, make_wait_queue
+from comfreyarch_daemon.dispatcherrors import DispatchError, make_late_error
 from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -25,27 +26,6 @@
 FUTURE_DEMAND = Demand()
 
 
-class DispatchError(Exception):
-    """Report that a request cannot start in time.
-
-    :param why: the reason.
-    :param retry_after_s: expected seconds until the queue is served.
-    :param has_upstreams: whether the service has any upstream left.
-    """
-
-    def __init__(
-        self,
-        why: str,
-        retry_after_s: float,
-        *,
-        has_upstreams: bool,
-    ) -> None:
-        """Record when to retry and whether there are upstreams."""
-        super().__init__(why)
-        self.retry_after_s = retry_after_s
-        self.has_upstreams = has_upstreams
-
-
 class Dispatcher:
     """Assign requests to slots and serve the wait queues.
 
@@ -250,7 +230,7 @@
                 self.results.pop(waiter).set(view)
 
     def update_limit(self, service: str, queue: WaitQueue, now: float) -> None:
-        """Tell a queue what the upstreams of its service take together."""
+        """Update what the upstreams of a queue's service take together."""
         queue.limit = self.selector.service_limit(service, now)
         if queue.is_limited:
             queue.others = self.selector.fleet_load.waiting(service)
@@ -304,22 +284,3 @@
 
 def ignore_demand(_upstreams: list[UpstreamEntry], _demand: Demand) -> None:
     """Do nothing; the default for ``Dispatcher.on_demand``."""
-
-
-def make_late_error(queue: WaitQueue, wait_s: float) -> DispatchError:
-    """Make the error for a request that cannot start in time.
-
-    :param wait_s: expected wait in seconds.
-    :returns: the error.
-    """
-    why = (
-        f'{len(queue.waiters)} requests are queued;'
-        f' the expected wait of {wait_s:.2f} s is too long'
-    )
-    if queue.is_limited:
-        why = (
-            f'{why}, as all upstreams are limited, to {queue.limit:.1f} requests'
-            f' per second together, for which {queue.others} requests wait at'
-            f' other entries'
-        )
-    return DispatchError(why, wait_s, has_upstreams=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -15,7 +15,7 @@
 from comfreyarch_core.upstreamselection import UpstreamView
 from comfreyarch_core.waitqueue import Waiter
 from comfreyarch_daemon.answerparser import Answer
-from comfreyarch_daemon.dispatching import DispatchError
+from comfreyarch_daemon.dispatcherrors import DispatchError
 from comfreyarch_daemon.forwarding import (
     AnswerAborted,
     AnswerPart,
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -12,14 +12,13 @@
     make_limit_shares,
 )
 from comfreyarch_core.permits import (
-    ASK_INTERVAL_S,
     PERMIT_TTL_S,
     Ask,
     Demand,
     Grant,
     make_permit_issuer,
-    make_permit_stock,
 )
+from comfreyarch_core.permitstock import ASK_INTERVAL_S, make_permit_stock
 from comfreyarch_core.upstreamlimits import LimitState
 from comfreyarch_daemon.datagrams import DECODE_ERRORS
 from comfreyarch_daemon.limitmessages import (
