--- a/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
@@ -17,9 +17,9 @@
 from comfreyarch_core.permits import (
     PERMIT_TTL_S,
     Ask,
-    Demand,
     Grant,
     PermitIssuer,
+    SendDemand,
     make_permit_issuer,
 )
 from comfreyarch_core.permitstock import PermitStock, make_permit_stock
@@ -202,7 +202,7 @@
     def make_asks(
         self,
         upstreams: Iterable[UpstreamEntry],
-        demand: Demand,
+        demand: SendDemand,
         now: float,
     ) -> list[tuple[str, Ask]]:
         """Make the asks that are due for some limited upstreams.
--- a/packages/comfreyarch-core/src/comfreyarch_core/permits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/permits.py
@@ -3,9 +3,11 @@
 An entry asks an upstream's holder for a permit and gets it when the holder's rate
 allows it. Asks of requests that wait go first, in the order in which they would be
 served at one entry. The holder's own requests come next, as they need no permit.
-Asks for requests that may come are answered with what is left. A permit is valid for a short time from its ask, by the clock
-of the entry that asked: one that was delayed on its way or kept while the process
-did not run is void.
+Asks for requests that may come are answered with what is left.
+
+A permit is valid for a short time from its ask, by the clock of the entry that
+asked: one that was delayed on its way, or kept while the process did not run, is
+void.
 """
 
 import math
@@ -29,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Demand:
+class SendDemand:
     """Describe the requests of one service that may use a permit.
 
     :param waiting: how many wait; none if some may come.
@@ -53,7 +55,7 @@
     node: str
     upstream: str
     number: int
-    demand: Demand
+    demand: SendDemand
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -6,7 +6,7 @@
 import gevent
 from gevent.event import AsyncResult
 
-from comfreyarch_core.permits import Demand
+from comfreyarch_core.permits import SendDemand
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.upstreamselection import (
     NO_UPSTREAMS,
@@ -23,7 +23,7 @@
 # no entry accounts for) decays.
 QUEUE_CHECK_INTERVAL_S = 0.03
 # Demand of requests that may come.
-FUTURE_DEMAND = Demand()
+FUTURE_DEMAND = SendDemand()
 
 
 class Dispatcher:
@@ -53,7 +53,7 @@
         self.queues: dict[str, WaitQueue] = {}
         self.results: dict[Waiter, AsyncResult] = {}
         self.on_load_change: Callable[[], None] = ignore_change
-        self.on_demand: Callable[[list[UpstreamEntry], Demand], None] = (
+        self.on_demand: Callable[[list[UpstreamEntry], SendDemand], None] = (
             ignore_demand
         )
         self.worker: gevent.Greenlet | None = None
@@ -246,14 +246,16 @@
             return
         first = queue.ordered(now)[0]
         urgency, is_late, start_at = queue.position(first, now)
-        demand = Demand(
+        demand = SendDemand(
             len(queue.waiters),
             (urgency, is_late, start_at - now),
             first.latest_start_at - now,
         )
         self.request_permits(first.service, demand, now)
 
-    def request_permits(self, service: str, demand: Demand, now: float) -> None:
+    def request_permits(
+        self, service: str, demand: SendDemand, now: float
+    ) -> None:
         """Request permits for the limited upstreams of a service."""
         upstreams = self.selector.limited_upstreams(service, now)
         if upstreams:
@@ -282,5 +284,5 @@
     """Do nothing; the default for ``Dispatcher.on_load_change``."""
 
 
-def ignore_demand(_upstreams: list[UpstreamEntry], _demand: Demand) -> None:
+def ignore_demand(_upstreams: list[UpstreamEntry], _demand: SendDemand) -> None:
     """Do nothing; the default for ``Dispatcher.on_demand``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
@@ -9,7 +9,7 @@
 
 from comfreyarch_core.limitcontrol import LimitControl
 from comfreyarch_core.limitshares import REPORT_INTERVAL_S
-from comfreyarch_core.permits import Ask, Demand, Grant
+from comfreyarch_core.permits import Ask, Grant, SendDemand
 from comfreyarch_core.upstreamlimits import LimitChange
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_daemon.datagrams import Datagrams
@@ -153,7 +153,7 @@
         if self.datagrams is not None and address is not None:
             self.datagrams.send(message, address)
 
-    def ask(self, upstreams: list[UpstreamEntry], demand: Demand) -> None:
+    def ask(self, upstreams: list[UpstreamEntry], demand: SendDemand) -> None:
         """Ask for permits for some of the upstreams that are limited."""
         by_holder: dict[str, list[Ask]] = {}
         now = boot_time()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitmessages.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitmessages.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 from comfreyarch_core.limitshares import LimitReport, Loan
-from comfreyarch_core.permits import PERMIT_TTL_S, Ask, Demand, Grant
+from comfreyarch_core.permits import PERMIT_TTL_S, Ask, Grant, SendDemand
 from comfreyarch_core.upstreamlimits import LimitState, bounded
 
 # Tags of the messages.
@@ -99,7 +99,7 @@
     )
 
 
-def encode_asks(asks: list[Ask], demand: Demand) -> list[Any]:
+def encode_asks(asks: list[Ask], demand: SendDemand) -> list[Any]:
     """Encode the asks of an entry to one holder.
 
     :returns: the message.
@@ -124,7 +124,7 @@
     wanted_s, wanted = rest
     if len(order) > MAX_ORDER_LENGTH or len(wanted) > MAX_UPSTREAMS:
         raise ValueError(f'{len(wanted)} asks are too many')
-    demand = Demand(
+    demand = SendDemand(
         check_count(waiting),
         tuple(check_number(part) for part in order),
         min(check_number(wanted_s), PERMIT_TTL_S),
--- a/tests/limit_world.py
+++ b/tests/limit_world.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from comfreyarch_core.limitcontrol import make_limit_control
-from comfreyarch_core.permits import Demand
+from comfreyarch_core.permits import SendDemand
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
 REPORT_S = 0.25
@@ -224,7 +224,7 @@
         if not self.run_at(entry, self.start_request, entry, waiting):
             return
         if self.try_send(entry):
-            self.ask(entry, Demand())
+            self.ask(entry, SendDemand())
             return
         entry.queue.append(waiting)
         self.ask(entry, self.demand(entry))
@@ -354,7 +354,7 @@
     def demand(self, entry):
         """Describe an entry's waiting requests."""
         left_s = entry.queue[0].until - self.now
-        return Demand(len(entry.queue), (left_s,), left_s)
+        return SendDemand(len(entry.queue), (left_s,), left_s)
 
     def serve(self, entry):
         """Send waiting requests and refuse those that waited too long."""
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -14,8 +14,8 @@
 from comfreyarch_core.permits import (
     PERMIT_TTL_S,
     Ask,
-    Demand,
     Grant,
+    SendDemand,
     make_permit_issuer,
 )
 from comfreyarch_core.permitstock import ASK_INTERVAL_S, make_permit_stock
@@ -31,7 +31,7 @@
 )
 
 STATES = {'u': LimitState(2.0, 1, 0)}
-WAITING = Demand(1, (1, 5.0), 3.0)
+WAITING = SendDemand(1, (1, 5.0), 3.0)
 
 
 def asked_stock():
@@ -88,8 +88,12 @@
 
 def test_requests_that_wait_are_served_first_in_their_order():
     issuer = full_issuer()
-    demands = {'a': Demand(), 'b': Demand(3, (1, 2.0), 2.0), 'c': WAITING}
-    demands['d'] = Demand(1, (0, 9.0), 9.0)
+    demands = {
+        'a': SendDemand(),
+        'b': SendDemand(3, (1, 2.0), 2.0),
+        'c': WAITING,
+    }
+    demands['d'] = SendDemand(1, (0, 9.0), 9.0)
     for node, demand in demands.items():
         issuer.handle(Ask(node, 'u', 1, demand), 10)
     order = []
@@ -104,7 +108,7 @@
 def test_a_token_is_left_for_the_requests_of_the_holder():
     issuer = full_issuer()
     for node in ('a', 'b'):
-        issuer.handle(Ask(node, 'u', 1, Demand()), 10)
+        issuer.handle(Ask(node, 'u', 1, SendDemand()), 10)
     assert len(issuer.issue('u', 1, 1, 10)) == 1
     assert issuer.has_own('u', 1, 1, 10)
     issuer.use_own('u')
@@ -124,7 +128,7 @@
 def test_asks_end_with_the_use_of_their_answer():
     issuer = full_issuer()
     issuer.buckets['u'].tokens = 0
-    issuer.handle(Ask('a', 'u', 1, Demand(1, (1, 0.5), 0.5)), 10)
+    issuer.handle(Ask('a', 'u', 1, SendDemand(1, (1, 0.5), 0.5)), 10)
     assert not issuer.issue('u', 1, 1, 11.5)
     assert not issuer.asks
     assert issuer.next_token_s('u', 1) == math.inf
@@ -244,7 +248,7 @@
     assert decode_grant(encode_grant(grant)) == grant
     read = decode_asks(encode_asks(ASKS, WAITING))
     assert [ask.number for ask in read] == [4, 5]
-    assert read[0].demand == Demand(1, (1, 5.0), PERMIT_TTL_S)
+    assert read[0].demand == SendDemand(1, (1, 5.0), PERMIT_TTL_S)
 
 
 INVALID = (None, -1, 'x', [], {}, math.nan, math.inf, 10**30, b'x', [[1]])
