Have two answers make up for one crash, so that parts that crash most runs are barred

Two answers now make up for one crash.

test_answers_count_against_a_suspect_at_all_entries counted one answer a crash; it now sends as many answers as make up for all crashes, and expects the same.

--- a/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/crashguard.py
@@ -6,9 +6,9 @@
 request. A trait is barred at a net count of ``BAR_SCORE``.
 
 This is a sequential test of two hypotheses: a run with the trait ends in a
-crash with a probability of at most 0.1, or of at least 0.9. Each crash or
-answer changes the odds by a factor of 9, so a trait of the first kind is barred
-with a probability of at most 9 ** -3, which is 0.14 %.
+crash with a probability of at most 0.1, or of at least 0.65. Each crash changes
+the odds by a factor of 6.5, two answers undo that, so a trait of the first kind is
+barred with a probability of at most 6.5 ** -3, which is 0.36 %.
 
 Sound requests lose their connections with a crashing one, so crashes that a
 barred trait explains no longer count for other traits.
@@ -57,6 +57,9 @@
 )
 from comfreyarch_core.traitscores import TraitScores, make_trait_scores
 
+# Crashes that an answer makes up for. A trait that ends most of its runs must be
+# barred soon, though some are answered.
+ANSWER_WEIGHT = 0.5
 # Net number up to which a bar of a peer is not taken over.
 SOUND_SCORE = -3
 # Limit on the traits of one crash.
@@ -163,7 +166,7 @@
 
     def count_answer(self, trait: str, now: float) -> list[Notice]:
         """Count an answer against a trait; it may lift a bar."""
-        self.scores.add(trait, -1)
+        self.scores.add(trait, -ANSWER_WEIGHT)
         is_refuted = self.scores.net(trait) <= 0
         if is_refuted or self.bars.is_probed(trait):
             return self.lift(trait, now)
--- a/packages/comfreyarch-core/src/comfreyarch_core/traitscores.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/traitscores.py
@@ -16,16 +16,16 @@
     :param by_trait: the net numbers, the one changed last at the end.
     """
 
-    by_trait: dict[str, int] = field(default_factory=dict)
+    by_trait: dict[str, float] = field(default_factory=dict)
 
-    def net(self, trait: str) -> int:
+    def net(self, trait: str) -> float:
         """Return the crashes of a trait less its answers.
 
         :returns: 0 for an unknown trait.
         """
         return self.by_trait.get(trait, 0)
 
-    def add(self, trait: str, change: int) -> None:
+    def add(self, trait: str, change: float) -> None:
         """Change a net number, and drop the oldest above the limit.
 
         Numbers above 0 are kept: callers choose the parts, and could push a
@@ -39,11 +39,11 @@
             )
             self.by_trait.pop(next(not_suspect, trait))
 
-    def lower_to(self, trait: str, highest: int) -> None:
+    def lower_to(self, trait: str, highest: float) -> None:
         """Lower a net number to a limit."""
         self.by_trait[trait] = min(self.net(trait), highest)
 
-    def raise_to(self, trait: str, lowest: int) -> None:
+    def raise_to(self, trait: str, lowest: float) -> None:
         """Raise a net number to a limit."""
         self.by_trait[trait] = max(self.net(trait), lowest)
 
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -15,7 +15,7 @@
     MIN_SENDS,
     NEW_ROUTE_SCORE,
 )
-from comfreyarch_core.crashguard import make_crash_guard
+from comfreyarch_core.crashguard import ANSWER_WEIGHT, make_crash_guard
 from comfreyarch_core.crashmessages import (
     ConnectionBroken,
     CrashObserved,
@@ -105,9 +105,11 @@
     guard = make_crash_guard()
     for number in range(BAR_SCORE - 1):
         crash(guard, f'u{number}', number, REQUEST)
-    notices = guard.handle(RequestAnswered(TARGET, (REQUEST,)), BAR_SCORE)
-    assert notices == [SuspectAnswered(REQUEST)]
-    guard.handle_peer(PeerAnswer(REQUEST), BAR_SCORE)
+    # Answers that make up for all crashes, half of them at a peer.
+    for _ in range(int((BAR_SCORE - 1) / ANSWER_WEIGHT / 2)):
+        notices = guard.handle(RequestAnswered(TARGET, (REQUEST,)), BAR_SCORE)
+        assert notices == [SuspectAnswered(REQUEST)]
+        guard.handle_peer(PeerAnswer(REQUEST), BAR_SCORE)
     for number in range(BAR_SCORE - 1):
         crash(guard, f'v{number}', BAR_SCORE, REQUEST)
     assert not guard.bars.barred_trait((REQUEST,), BAR_SCORE)
