--- a/tests/test_retryshare.py
+++ b/tests/test_retryshare.py
@@ -46,3 +46,21 @@
         previous = [at for at in requests if start - 10 <= at < start]
         earned = LIMITS.ratio * max(len(current), len(previous))
         assert len(retried) <= earned + LIMITS.allowance
+
+
+# Fails if entries that were all killed after a burst of retries earn new ones while
+# those of their predecessors lie in the window.
+def test_retries_before_a_restart_count_against_those_after_it():
+    entries = 20
+    requests = [number / 4 for number in range(80)]
+    retries: list[float] = []
+    for started_at, burst_at, killed_at in ((-100, 9.9, 10), (10, 19.8, 20)):
+        share = make_retry_share(LIMITS, started_at, entries)
+        for at in requests:
+            if max(0, started_at) <= at < killed_at:
+                share.record_request(at)
+        retries += [burst_at for _ in range(100) if take(share, burst_at)]
+    # Each entry has the same load, so its part of the budget is the same.
+    within = [at for at in retries if 9.85 <= at < 19.85]
+    earned = LIMITS.ratio * sum(9.85 <= at < 19.85 for at in requests)
+    assert len(within) <= earned + LIMITS.allowance / entries
