Count datagrams by tag, and log which ranks did not prepare a map

The logs could not tell whether maps of a large group are lost at the leader, at relays or on the way back. Each node now logs every 5 s what it sent and received by tag; the leader logs the relays of a map and relays what they forward; a change that ends as not prepared names the ranks that copy, were not reached, or are silent. No decision changes.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -49,6 +49,7 @@
 from comfreyarch_core.mapcontrolmessages import (
     DEPOSED,
     NOT_HELD,
+    NOT_PREPARED,
     AbsentLeader,
     ChangeMap,
     Message,
@@ -287,7 +288,7 @@
             or not self.is_at_rest()
         ):
             self.phase = Phase.idle
-            return [Settled(None, 'not prepared')]
+            return [Settled(None, NOT_PREPARED)]
         order = PrepareMap(self.version, self.target)
         is_copying = self.states[self.own_rank].copying == self.version
         if self.own_rank in waiting and not is_copying:
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrolmessages.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrolmessages.py
@@ -7,6 +7,8 @@
 
 # Reason for a change that ended because no step could be held.
 NOT_HELD = 'not held'
+# Reason for a change that ended because some ranks had not prepared its map.
+NOT_PREPARED = 'not prepared'
 # Reason for a term that ended because a leader with a higher fence was seen.
 DEPOSED = 'deposed'
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -12,6 +12,10 @@
 import gevent
 from gevent import socket
 
+from comfreyarch_core.datagramcounts import (
+    DatagramCounts,
+    make_datagram_counts,
+)
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.settings import split_address
 
@@ -30,15 +34,28 @@
 MAX_DATAGRAM_BYTES = 65_000
 # Pause after the system failed to receive a datagram.
 RETRY_S = 0.1
+# Interval at which the numbers of datagrams are logged.
+SUMMARY_INTERVAL_S = 5.0
 
 
 class Datagrams:
     """Own a UDP socket; each message is a list that begins with a tag.
 
     :param handlers: called with a message and its sender's address, by tag.
+    :param sent: datagrams sent since the last summary.
+    :param received: datagrams received since then.
     """
 
-    __slots__ = ('address', 'closed', 'handlers', 'log', 'sock', 'worker')
+    __slots__ = (
+        'address',
+        'closed',
+        'handlers',
+        'log',
+        'received',
+        'sent',
+        'sock',
+        'workers',
+    )
 
     def __init__(self, address: str, log: EventLog) -> None:
         """Create the socket; ``start`` binds it to ``address``."""
@@ -46,7 +63,9 @@
         self.log = log
         self.handlers: dict[str, Callable[[list[Any], str], None]] = {}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.worker: gevent.Greenlet | None = None
+        self.sent: DatagramCounts = make_datagram_counts()
+        self.received: DatagramCounts = make_datagram_counts()
+        self.workers: list[gevent.Greenlet] = []
         self.closed = False
 
     def start(self) -> None:
@@ -55,13 +74,16 @@
         :raises OSError: if the address is in use.
         """
         self.sock.bind(split_address(self.address))
-        self.worker = gevent.spawn(self.listen)
+        self.workers = [
+            gevent.spawn(self.listen),
+            gevent.spawn(self.log_summaries),
+        ]
 
     def close(self) -> None:
         """Stop listening."""
         self.closed = True
-        if self.worker is not None:
-            self.worker.kill(block=False)
+        for worker in self.workers:
+            worker.kill(block=False)
         self.sock.close()
 
     def send(self, message: list[Any], address: str) -> int:
@@ -70,16 +92,30 @@
         :returns: the size of the datagram in bytes.
         """
         encoded = cbor2.dumps(message)
-        self.send_encoded(encoded, address)
+        self.send_encoded(message[0], encoded, address)
         return len(encoded)
 
-    def send_encoded(self, encoded: bytes, address: str) -> None:
-        """Send an encoded message and log a failure."""
+    def send_encoded(self, tag: str, encoded: bytes, address: str) -> None:
+        """Send an encoded message and log a failure.
+
+        :param tag: tag of the message.
+        """
+        self.sent.add(tag, len(encoded))
         try:
             self.sock.sendto(encoded, split_address(address))
         except OSError as error:
             self.log.write('datagram_unsent', address=address, why=str(error))
 
+    def log_summaries(self) -> None:
+        """Log the numbers of datagrams periodically."""
+        while True:
+            gevent.sleep(SUMMARY_INTERVAL_S)
+            self.log.write(
+                'datagrams',
+                sent=self.sent.take_summary(),
+                received=self.received.take_summary(),
+            )
+
     def listen(self) -> None:
         """Receive messages until closed."""
         while True:
@@ -109,7 +145,9 @@
         message = cbor2.loads(received)
         if not isinstance(message, list) or not message:
             raise ValueError('message is not a list that begins with a tag')
-        on_message = self.handlers.get(str(message[0]))
+        tag = str(message[0])
+        on_message = self.handlers.get(tag)
         if on_message is None:
-            raise ValueError(f'no handler for message tag {message[0]!r}')
+            raise ValueError(f'no handler for message tag {tag!r}')
+        self.received.add(tag, len(received))
         on_message(message, address)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -199,7 +199,7 @@
             self.lost_sent_at = now
         for node, address in self.peers.items():
             if includes_lost or node in self.last_received_at:
-                self.datagrams.send_encoded(encoded, address)
+                self.datagrams.send_encoded(LOAD, encoded, address)
 
 
 def encode_load(load: EntryLoad) -> list[Any]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -16,6 +16,7 @@
 from comfreyarch_core.mapcontrolmessages import (
     DEPOSED,
     NOT_HELD,
+    NOT_PREPARED,
     AbsentLeader,
     ChangeMap,
     Outcome,
@@ -242,6 +243,8 @@
     def finish_change(self, version: int | None, why: str) -> None:
         """Log the end of a change and drop counts of the previous map."""
         self.reports.end_change()
+        if why == NOT_PREPARED:
+            self.log_unprepared()
         planned = self.planned
         self.metrics.count('map_changes', outcome=why.replace(' ', '_'))
         self.log.write(
@@ -254,6 +257,28 @@
             skew_planned=round(planned.after, 2) if planned else None,
         )
 
+    def log_unprepared(self) -> None:
+        """Log how far the ranks got that did not prepare a map."""
+        now = boot_time()
+        copying, unreached, silent = [], [], []
+        for rank in self.control.find_unprepared():
+            state = self.control.states.get(rank)
+            seen_at = self.reports.last_seen_at.get(rank, 0)
+            if state is not None and state.copying == self.control.version:
+                copying.append(rank)
+            elif now - seen_at > RANK_TIMEOUT_S:
+                silent.append(rank)
+            else:
+                unreached.append(rank)
+        self.log.write(
+            'map_unprepared',
+            fence=self.fence,
+            version=self.control.version,
+            copying=copying,
+            unreached=unreached,
+            silent=silent,
+        )
+
     def run_planning(self) -> None:
         """Plan and start changes until the term is over."""
         while self.check_awake():
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
@@ -8,7 +8,9 @@
 from comfreyarch_core.relaygroups import split_into_relay_groups
 from comfreyarch_core.reportpacing import is_announcement_due
 from comfreyarch_daemon.datagrams import Datagrams
+from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.rankdatagrams import (
+    LEAD,
     decode_relayed_order,
     encode_announcement,
     encode_order,
@@ -33,6 +35,7 @@
         'addresses',
         'attempts',
         'datagrams',
+        'log',
         'on_order',
         'own_address',
     )
@@ -43,8 +46,10 @@
         own_address: str,
         addresses: dict[int, str],
         on_order: Callable[[RankOrder, str], None],
+        log: EventLog,
     ) -> None:
         """Create the channel of one sidecar."""
+        self.log = log
         self.datagrams = datagrams
         self.own_address = own_address
         self.addresses = addresses
@@ -72,7 +77,15 @@
         if not targets:
             return
         head = encode_relayed_order(self.own_address, orders[0])
-        for group in split_into_relay_groups(list(targets), self.attempts):
+        groups = split_into_relay_groups(list(targets), self.attempts)
+        self.log.write(
+            'maps_sent',
+            fence=orders[0].fence,
+            attempt=self.attempts,
+            ranks=len(targets),
+            relays=[group[0] for group in groups],
+        )
+        for group in groups:
             relay_address = self.addresses[group[0]]
             message = [*head, [targets[rank] for rank in group]]
             if relay_address == self.own_address:
@@ -91,12 +104,16 @@
             if address != self.own_address and is_announcement_due(
                 rank, number
             ):
-                self.datagrams.send_encoded(encoded, address)
+                self.datagrams.send_encoded(LEAD, encoded, address)
 
     def handle_relayed_order(self, message: list[Any], _address: str) -> None:
         """Process the own order of a relay group, and forward the others."""
         *head, targets = message
         order, leader = decode_relayed_order(message)
+        if targets[1:]:
+            self.log.write(
+                'map_relayed', fence=order.fence, targets=len(targets[1:])
+            )
         for target in targets[1:]:
             self.datagrams.send([*head, [target]], target[-1])
         self.on_order(order, leader)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -103,7 +103,11 @@
         self.health = HealthReporter(settings.engine, self.datagrams, self.log)
         self.addresses: dict[int, str] = {}
         self.orders = OrderChannel(
-            self.datagrams, settings.peers, self.addresses, self.accept_order
+            self.datagrams,
+            settings.peers,
+            self.addresses,
+            self.accept_order,
+            self.log,
         )
         self.datagrams.handlers = {
             **self.health.handlers(),
--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -88,13 +88,17 @@
         monkeypatch.setattr(orderdelivery.gevent, 'spawn', self.spawn)
         self.addresses = {rank: f'10.0.0.{rank}:1' for rank in range(size)}
         self.ranks = {name: rank for rank, name in self.addresses.items()}
+        self.log = RecordingLog()
         self.channels = {
             rank: OrderChannel(
-                Link(self, rank), name, self.addresses, self.make_executor(rank)
+                Link(self, rank),
+                name,
+                self.addresses,
+                self.make_executor(rank),
+                self.log,
             )
             for rank, name in self.addresses.items()
         }
-        self.log = RecordingLog()
         limits = MapLimits(2 * size, PLACES, 2)
         self.leader = MapLeader(
             self.read_state(0),
@@ -268,7 +272,7 @@
         self.world = world
         self.rank = rank
 
-    def send_encoded(self, encoded, address):
+    def send_encoded(self, _tag, encoded, address):
         """Send an announcement over the simulated links."""
         receiver = self.world.ranks[address]
         self.world.send(
