Send datagrams no faster than the link takes them, by urgency

Callers of large groups got streams with long pauses, since no change of the expert map settled. A node sent its ten maps of 6 KB in one burst, the link dropped most, silence was answered with the same burst. Announcements were lost with them, which ended terms of leaders without a fault.

All datagrams of a node now pass one queue that knows the link's capacity from the settings. Urgent ones overtake, newer ones replace older ones, outdated ones and what exceeds a second of the link are dropped and counted. Entries use it, too.

The interval of resends begins when the last map should have arrived.

--- a/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapcontrol.py
@@ -29,6 +29,7 @@
 of its successor, which is at another rank.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from comfreyarch_core.enginestate import (
@@ -278,6 +279,15 @@
         self.sent_at[rank] = now
         return [Send(rank, order, self.epoch, state.sequence)]
 
+    def delay_resends(self, ranks: Iterable[int], arrival_at: float) -> None:
+        """Count the resend interval of orders from the time of their arrival.
+
+        :param ranks: ranks whose last orders wait for a link.
+        """
+        for rank in ranks:
+            if rank in self.sent_at:
+                self.sent_at[rank] = arrival_at
+
     def prepare_ranks(self, now: float) -> list[Outcome]:
         """Order all ranks to copy the experts that the target map needs."""
         waiting = self.find_unprepared()
--- a/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
@@ -19,9 +19,9 @@
 # Interval at which a prepare order is resent: resending it to a rank that copies
 # experts only checks on the copy.
 PREPARE_RESEND_S = 0.15
-# Lower bound of that interval for each rank that is sent the order: a map takes
-# long to pass the leader's link.
-PREPARE_RESEND_PER_RANK_S = 0.006
+# Lower bound of that interval for each rank that is sent the order: the answers of
+# all take a while to pass the leader's link.
+PREPARE_RESEND_PER_RANK_S = 0.001
 # The same interval for a rank that reports its copy.
 COPYING_RESEND_S = 1.0
 # Maximum distance, in steps, from the last step begun to the held step.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -1,7 +1,7 @@
 """Exchange small CBOR messages with other nodes in UDP datagrams.
 
-Each message supersedes the previous one, so a late or lost message has no
-value. A stream would queue outdated messages behind a lost segment.
+A stream would queue outdated messages behind a lost segment. Here messages wait in
+a queue of the node itself, by urgency and only as long as they are of use.
 """
 
 import zlib
@@ -11,13 +11,17 @@
 import cbor2
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from comfreyarch_core.datagramcounts import (
     DatagramCounts,
     make_datagram_counts,
 )
+from comfreyarch_core.linkqueue import Datagram, LinkQueue, make_link_queue
 from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.sendpolicies import select_policy
 from comfreyarch_daemon.settings import split_address
+from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Exceptions that decoding a malformed message, or one of another release, may
 # raise.
@@ -44,22 +48,33 @@
     :param handlers: called with a message and its sender's address, by tag.
     :param sent: datagrams sent since the last summary.
     :param received: datagrams received since then.
+    :param queue: datagrams that wait for the link.
+    :param is_waiting: set while any wait.
     """
 
     __slots__ = (
         'address',
         'closed',
         'handlers',
+        'is_waiting',
         'log',
+        'queue',
         'received',
         'sent',
         'sock',
         'workers',
     )
 
-    def __init__(self, address: str, log: EventLog) -> None:
-        """Create the socket; ``start`` binds it to ``address``."""
+    def __init__(
+        self, address: str, log: EventLog, link_bytes_per_s: float = 0
+    ) -> None:
+        """Create the socket; ``start`` binds it to ``address``.
+
+        :param link_bytes_per_s: capacity of the node's link, 0 if unknown.
+        """
         self.address = address
+        self.queue: LinkQueue = make_link_queue(link_bytes_per_s)
+        self.is_waiting = Event()
         self.log = log
         self.handlers: dict[str, Callable[[list[Any], str], None]] = {}
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -76,6 +91,7 @@
         self.sock.bind(split_address(self.address))
         self.workers = [
             gevent.spawn(self.listen),
+            gevent.spawn(self.send_waiting),
             gevent.spawn(self.log_summaries),
         ]
 
@@ -96,15 +112,43 @@
         return len(encoded)
 
     def send_encoded(self, tag: str, encoded: bytes, address: str) -> None:
-        """Send an encoded message and log a failure.
+        """Send an encoded message as soon as the link takes it.
 
-        :param tag: tag of the message.
+        :param tag: tag of the message, which defines how long it may wait.
         """
-        self.sent.add(tag, len(encoded))
+        datagram = Datagram(tag, encoded, address, select_policy(tag))
+        for due in self.queue.offer(datagram, boot_time()):
+            self.transmit(due)
+        if self.queue.waiting_bytes:
+            self.is_waiting.set()
+
+    def send_waiting(self) -> None:
+        """Send the datagrams that wait, each when the link takes it."""
+        while True:
+            self.is_waiting.wait()
+            while self.queue.waiting_bytes:
+                gevent.sleep(max(0, self.queue.next_due_at() - boot_time()))
+                for due in self.queue.take_due(boot_time()):
+                    self.transmit(due)
+            self.is_waiting.clear()
+
+    def transmit(self, datagram: Datagram) -> None:
+        """Pass a datagram to the operating system and log a failure."""
+        self.sent.add(datagram.tag, len(datagram.encoded))
         try:
-            self.sock.sendto(encoded, split_address(address))
+            self.sock.sendto(datagram.encoded, split_address(datagram.address))
         except OSError as error:
-            self.log.write('datagram_unsent', address=address, why=str(error))
+            self.log.write(
+                'datagram_unsent', address=datagram.address, why=str(error)
+            )
+
+    def backlog_s(self) -> float:
+        """Return the time until all messages so far have left this node."""
+        return self.queue.backlog_s(boot_time())
+
+    def transfer_s(self, size_bytes: int) -> float:
+        """Return the time in which the link takes a message of a size."""
+        return self.queue.transfer_s(size_bytes)
 
     def log_summaries(self) -> None:
         """Log the numbers of datagrams periodically."""
@@ -114,6 +158,7 @@
                 'datagrams',
                 sent=self.sent.take_summary(),
                 received=self.received.take_summary(),
+                dropped=self.queue.take_dropped(),
             )
 
     def listen(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -125,7 +125,9 @@
         dispatcher = self.entry.dispatcher
         self.peer_directory = adapter.open_peers(settings)
         self.sidecar_directory = adapter.open_sidecars(settings)
-        self.datagrams = Datagrams(settings.peers, self.log)
+        self.datagrams = Datagrams(
+            settings.peers, self.log, settings.link_bytes_per_s
+        )
         self.tables = TableSync(self.log, self.metrics, self.datagrams.send)
         self.tables.add(
             'configuration',
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
@@ -20,6 +20,7 @@
     :param retries: limits of the retry budget, which all entries share.
     :param grace_s: time from a stop signal to the forced end of the process.
     :param seed: seed of the entry's random choices.
+    :param link_bytes_per_s: capacity of the instance's link, 0 if unknown.
     """
 
     node: str
@@ -32,3 +33,4 @@
     retries: RetryLimits
     grace_s: float
     seed: int
+    link_bytes_per_s: float = 0
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
@@ -1,11 +1,16 @@
 """Deliver a leader's orders to the sidecars of its group."""
 
+import operator
 from collections.abc import Callable, Sequence
 from typing import Any
 
 import cbor2
 
-from comfreyarch_core.relaygroups import split_into_relay_groups
+from comfreyarch_core.relaytree import (
+    count_rounds,
+    rotate,
+    split_for_relays,
+)
 from comfreyarch_core.reportpacing import is_announcement_due
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
@@ -19,6 +24,13 @@
 )
 from comfreyarch_daemon.sidecarmessages import LeaderAnnouncement, RankOrder
 
+# Time from the receipt of an order to the first byte that is forwarded.
+FORWARD_S = 0.005
+# Maximum number of ranks that are sent orders without relays, and the maximum time
+# that these orders may take on the link.
+MAX_DIRECT_RANKS = 16
+MAX_DIRECT_S = 0.1
+
 
 class OrderChannel:
     """Send a leader's orders, large ones through relays, and relay them.
@@ -64,35 +76,73 @@
         elif address is not None:
             self.datagrams.send(encode_order(order), address)
 
-    def send_to_many(self, orders: Sequence[RankOrder]) -> None:
+    def send_to_many(self, orders: Sequence[RankOrder]) -> float:
         """Send orders that differ in rank and sequence only.
 
-        Ranks of unknown address are left out.
+        Ranks of unknown address are left out. Those of neighbouring addresses
+        are mostly in one availability zone, so most orders stay in it.
+
+        :returns: seconds until the last of them should have arrived.
         """
-        targets = {
-            order.rank: encode_target(order, self.addresses[order.rank])
-            for order in orders
-            if order.rank in self.addresses
-        }
+        targets = sorted(
+            (
+                encode_target(order, self.addresses[order.rank])
+                for order in orders
+                if order.rank in self.addresses
+            ),
+            key=operator.itemgetter(-1),
+        )
         if not targets:
-            return
+            return 0
         head = encode_relayed_order(self.own_address, orders[0])
-        groups = split_into_relay_groups(list(targets), self.attempts)
+        backlog_s = self.datagrams.backlog_s()
+        parts, rounds = self.divide(head, rotate(targets, self.attempts))
+        size_bytes = self.send_parts(head, parts)
+        arrival_s = backlog_s + rounds * (
+            self.datagrams.transfer_s(size_bytes) + FORWARD_S
+        )
         self.log.write(
             'maps_sent',
             fence=orders[0].fence,
             attempt=self.attempts,
             ranks=len(targets),
-            relays=[group[0] for group in groups],
+            size_bytes=size_bytes,
+            arrival_s=round(arrival_s, 3),
         )
-        for group in groups:
-            relay_address = self.addresses[group[0]]
-            message = [*head, [targets[rank] for rank in group]]
-            if relay_address == self.own_address:
-                self.handle_relayed_order(message, relay_address)
-            else:
-                self.datagrams.send(message, relay_address)
         self.attempts += 1
+        return arrival_s
+
+    def divide(
+        self, head: list[Any], targets: list[list[Any]]
+    ) -> tuple[list[list[list[Any]]], int]:
+        """Divide the targets of an order into the parts to send.
+
+        :param head: the encoded order without its targets.
+        :returns: the parts, and the messages that pass one after another.
+        """
+        count = len(targets)
+        order_s = self.datagrams.transfer_s(len(cbor2.dumps(head)))
+        if count <= MAX_DIRECT_RANKS and count * order_s <= MAX_DIRECT_S:
+            return [[target] for target in targets], count
+        return split_for_relays(targets), count_rounds(count)
+
+    def send_parts(
+        self, head: list[Any], parts: Sequence[list[list[Any]]]
+    ) -> int:
+        """Send an order to the first target of each part, for all of it.
+
+        :param head: the encoded order without its targets.
+        :returns: the size of the largest message in bytes, 0 if none was sent.
+        """
+        largest = 0
+        for part in parts:
+            address = part[0][-1]
+            if address == self.own_address:
+                self.handle_relayed_order([*head, part], address)
+            else:
+                size_bytes = self.datagrams.send([*head, part], address)
+                largest = max(largest, size_bytes)
+        return largest
 
     def announce(self, announcement: LeaderAnnouncement, number: int) -> None:
         """Announce this sidecar as the leader to the ranks that are due.
@@ -107,13 +157,9 @@
                 self.datagrams.send_encoded(LEAD, encoded, address)
 
     def handle_relayed_order(self, message: list[Any], _address: str) -> None:
-        """Process the own order of a relay group, and forward the others."""
+        """Forward an order to its other targets, and process the own one."""
         *head, targets = message
-        order, leader = decode_relayed_order(message)
         if targets[1:]:
-            self.log.write(
-                'map_relayed', fence=order.fence, targets=len(targets[1:])
-            )
-        for target in targets[1:]:
-            self.datagrams.send([*head, [target]], target[-1])
-        self.on_order(order, leader)
+            self.log.write('map_relayed', targets=len(targets[1:]))
+            self.send_parts(head, split_for_relays(targets[1:]))
+        self.on_order(*decode_relayed_order(message))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderdelivery.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderdelivery.py
@@ -35,8 +35,11 @@
     def send(self, order: RankOrder) -> None:
         """Send an order to a rank's sidecar."""
 
-    def send_to_many(self, orders: Sequence[RankOrder]) -> None:
-        """Send orders that differ in rank and sequence only."""
+    def send_to_many(self, orders: Sequence[RankOrder]) -> float:
+        """Send orders that differ in rank and sequence only.
+
+        :returns: seconds until the last of them should have arrived.
+        """
 
 
 class OrderDelivery:
@@ -115,7 +118,10 @@
                 self.direct_maps += 1
                 gevent.spawn(self.send_map_directly, order)
         if by_sidecar:
-            self.orders.send_to_many(by_sidecar)
+            arrival_s = self.orders.send_to_many(by_sidecar)
+            self.control.delay_resends(
+                [addressed.rank for addressed in by_sidecar], now + arrival_s
+            )
 
     def send_map_directly(self, order: RankOrder) -> None:
         """Send a map to an engine directly, bypassing its sidecar."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankdatagrams.py
@@ -4,19 +4,17 @@
 from dataclasses import astuple
 from typing import Any
 
-import cbor2
-
 from comfreyarch_core.enginestate import (
     ArmedSwitch,
     ArmMap,
     DisarmMap,
     EngineOrder,
     EngineState,
-    GroupMap,
     HoldStep,
     PrepareMap,
     ReleaseStep,
 )
+from comfreyarch_core.mappacking import pack_map, unpack_map
 from comfreyarch_daemon.sidecarmessages import (
     ExpertCounts,
     LeaderAnnouncement,
@@ -142,7 +140,7 @@
     fields: list[Any] = [type(order).__name__]
     match order:
         case PrepareMap(version, content):
-            fields += [version, zlib.compress(cbor2.dumps(content))]
+            fields += [version, *pack_map(content)]
         case ArmMap(version, step):
             fields += [version, step]
         case DisarmMap(version):
@@ -220,9 +218,8 @@
     :raises ValueError: if the kind of order is unknown.
     """
     match fields:
-        case ['PrepareMap', version, content]:
-            decoded = cbor2.loads(zlib.decompress(content))
-            return PrepareMap(version, to_group_map(decoded))
+        case ['PrepareMap', version, *packed]:
+            return PrepareMap(version, unpack_map(packed))
         case ['ArmMap', version, step]:
             return ArmMap(version, step)
         case ['DisarmMap', version]:
@@ -237,17 +234,6 @@
     )
 
 
-def to_group_map(decoded: Any) -> GroupMap:
-    """Convert a decoded map to tuples.
-
-    :returns: experts by set and rank.
-    """
-    return tuple(
-        tuple(tuple(rank_experts) for rank_experts in ranks)
-        for ranks in decoded
-    )
-
-
 def encode_announcement(announcement: LeaderAnnouncement) -> list[Any]:
     """Encode a leader's announcement.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -99,7 +99,9 @@
         self.settings = settings
         self.log = EventLog(settings.node)
         self.metrics = Metrics()
-        self.datagrams = Datagrams(settings.peers, self.log)
+        self.datagrams = Datagrams(
+            settings.peers, self.log, settings.link_bytes_per_s
+        )
         self.health = HealthReporter(settings.engine, self.datagrams, self.log)
         self.addresses: dict[int, str] = {}
         self.orders = OrderChannel(
--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -15,18 +15,20 @@
 import pytest
 from direct_world import RecordingLog
 
-from comfreyarch_core import relaygroups
+from comfreyarch_core import linkqueue
 from comfreyarch_core.enginestate import ArmMap, HoldStep, ReleaseStep
 from comfreyarch_core.grouppressure import ServiceLimits
+from comfreyarch_core.linkqueue import Datagram, make_link_queue
 from comfreyarch_core.mapcontrolmessages import ChangeMap, Tick
 from comfreyarch_core.mapplan import first_map
+from comfreyarch_core.relaytree import count_rounds, rotate, split_for_relays
 from comfreyarch_core.reportpacing import (
     DATAGRAM_OVERHEAD_BYTES,
     compute_count_interval,
     is_announcement_due,
 )
 from comfreyarch_core.setplanner import MapLimits
-from comfreyarch_daemon import mapleader, orderdelivery
+from comfreyarch_daemon import mapleader, orderchannel, orderdelivery
 from comfreyarch_daemon.groupreports import GroupReports
 from comfreyarch_daemon.leadership import LEADER_TIMEOUT_S, MapRules
 from comfreyarch_daemon.mapleader import (
@@ -38,13 +40,19 @@
 from comfreyarch_daemon.orderchannel import OrderChannel
 from comfreyarch_daemon.rankagent import COUNT_INTERVAL_S, UNANSWERED_WINDOW_S
 from comfreyarch_daemon.rankdatagrams import (
+    COUNTS,
+    LEAD,
     ORDER,
+    RELAY,
+    STATE,
     decode_counts,
     decode_order,
+    decode_state,
     encode_counts,
     encode_state,
 )
 from comfreyarch_daemon.ranknode import ANNOUNCE_INTERVAL_S
+from comfreyarch_daemon.sendpolicies import select_policy
 from comfreyarch_daemon.sidecarmessages import (
     READINGS_PER_S,
     ExpertCounts,
@@ -175,13 +183,18 @@
         if rank == 0:
             self.leader.handle_state(report)
             return
-        size = len(cbor2.dumps(encode_state(report)))
-        self.send(rank, size, lambda: self.leader.handle_state(report), 0)
+        link = self.channels[rank].datagrams
+        link.send(encode_state(report), self.addresses[0])
 
     def report_counts(self, rank):
         """Send a rank's expert counts to the leader."""
         if rank != 0:
-            self.send(rank, COUNTS_BYTES, lambda: None, 0)
+            link = self.channels[rank].datagrams
+            link.send_encoded(
+                COUNTS,
+                cbor2.dumps([COUNTS, bytes(COUNTS_BYTES)]),
+                self.addresses[0],
+            )
 
     def make_executor(self, rank):
         """Create the function that takes orders to a rank."""
@@ -303,37 +316,68 @@
 
 
 class Link:
-    """Stand in for a sidecar's datagram socket."""
+    """Stand in for a sidecar's datagram socket, with the product's queue."""
 
     def __init__(self, world, rank):
         self.world = world
         self.rank = rank
+        self.queue = make_link_queue(LINK_BYTES_PER_S)
+        self.wakes_at = math.inf
 
-    def send_encoded(self, _tag, encoded, address):
-        """Send an announcement over the simulated links."""
-        receiver = self.world.ranks[address]
-        self.world.send(
-            self.rank,
-            len(encoded),
-            lambda: self.world.hear(receiver),
-            receiver,
-        )
+    def backlog_s(self):
+        """Return the time until all messages so far have left."""
+        return self.queue.backlog_s(self.world.now)
+
+    def transfer_s(self, size_bytes):
+        """Return the time in which the link takes a message."""
+        return self.queue.transfer_s(size_bytes)
 
     def send(self, message, address):
-        """Send a message over the simulated links."""
-        receiver = self.world.ranks[address]
+        """Send a message over the simulated links when its turn comes."""
+        encoded = cbor2.dumps(message)
+        self.send_encoded(message[0], encoded, address)
+        return len(encoded)
+
+    def send_encoded(self, tag, encoded, address):
+        """Send an encoded message over the simulated links."""
+        datagram = Datagram(tag, encoded, address, select_policy(tag))
+        self.transmit(self.queue.offer(datagram, self.world.now))
+
+    def transmit(self, due):
+        """Send the messages that are due, and the next ones later."""
+        for datagram in due:
+            receiver = self.world.ranks[datagram.address]
+            self.world.send(
+                self.rank,
+                len(datagram.encoded),
+                lambda datagram=datagram, receiver=receiver: self.deliver(
+                    datagram, receiver
+                ),
+                receiver,
+            )
+        next_at = self.queue.next_due_at()
+        if next_at < self.wakes_at:
+            self.wakes_at = next_at
+            self.world.schedule(max(1e-6, next_at - self.world.now), self.wake)
+
+    def wake(self):
+        """Send the messages that are due by now."""
+        self.wakes_at = math.inf
+        self.transmit(self.queue.take_due(self.world.now))
+
+    def deliver(self, datagram, receiver):
+        """Pass a message to its receiver."""
+        message = cbor2.loads(datagram.encoded)
         channel = self.world.channels[receiver]
-
-        def deliver():
-            if message[0] == ORDER:
-                channel.on_order(
-                    decode_order(message), self.world.addresses[self.rank]
-                )
-            else:
-                channel.handle_relayed_order(message, address)
-
-        size = len(cbor2.dumps(message))
-        self.world.send(self.rank, size, deliver, receiver)
+        sender = self.world.addresses[self.rank]
+        if message[0] == ORDER:
+            channel.on_order(decode_order(message), sender)
+        elif message[0] == RELAY:
+            channel.handle_relayed_order(message, sender)
+        elif message[0] == LEAD:
+            self.world.hear(receiver)
+        elif message[0] == STATE:
+            self.world.leader.handle_state(decode_state(message))
 
 
 class DirectEngine:
@@ -415,22 +459,44 @@
 
 def test_without_relays_the_leader_is_not_heard(monkeypatch):
     """Show that the simulation finds the fault that relays prevent."""
-    monkeypatch.setattr(relaygroups, 'MAX_DIRECT_RANKS', 1000)
-    world = make_world(96, 0, monkeypatch)
+    monkeypatch.setattr(orderchannel, 'MAX_DIRECT_RANKS', 1000)
+    monkeypatch.setattr(orderchannel, 'MAX_DIRECT_S', 1000)
+    monkeypatch.setattr(linkqueue, 'LINK_SHARE', math.inf)
+    world = make_world(192, 0, monkeypatch)
     world.change(2)
     assert world.longest_silence_s() > LEADER_TIMEOUT_S
 
 
-@pytest.mark.parametrize('count', [1, 16, 17, 96, 384])
-def test_relay_groups_hold_each_rank_once_and_change_their_relays(count):
-    ranks = list(range(100, 100 + count))
-    first = relaygroups.split_into_relay_groups(ranks, 0)
-    second = relaygroups.split_into_relay_groups(ranks, 1)
-    assert sorted(rank for group in first for rank in group) == ranks
-    assert sorted(rank for group in second for rank in group) == ranks
-    if count > relaygroups.MAX_DIRECT_RANKS:
-        assert len(first) <= 1 + count**0.5
-        assert {group[0] for group in first} != {group[0] for group in second}
+def test_without_a_queue_a_map_is_lost_on_links_that_drop(monkeypatch):
+    """Show that the simulation finds the fault that the queue prevents."""
+    monkeypatch.setattr(linkqueue, 'LINK_SHARE', math.inf)
+    world = make_world(96, 0, monkeypatch, 10_000)
+    _, seconds = world.change(5)
+    assert world.dropped > 0
+    assert seconds > 0.5
+
+
+@pytest.mark.parametrize('count', [1, 2, 16, 17, 96, 384])
+def test_relays_reach_each_rank_once_in_few_rounds(count):
+    reached = []
+
+    def forward(targets, round_number):
+        for sends, part in enumerate(split_for_relays(targets), 1):
+            assert round_number + sends <= count_rounds(count)
+            reached.append(part[0])
+            forward(part[1:], round_number + sends)
+
+    forward(list(range(count)), 0)
+    assert sorted(reached) == list(range(count))
+
+
+def test_each_attempt_uses_other_relays():
+    ranks = list(range(96))
+    relays = [
+        {part[0] for part in split_for_relays(rotate(ranks, attempt))[:4]}
+        for attempt in range(2)
+    ]
+    assert not relays[0] & relays[1]
 
 
 def test_counts_of_a_large_group_leave_most_of_the_link_free():
--- /dev/null
+++ b/tests/test_link_queue.py
@@ -0,0 +1,152 @@
+"""Test in which order and how fast datagrams are passed to a link."""
+
+import math
+import random
+
+import pytest
+
+from comfreyarch_core.linkqueue import (
+    HEADER_BYTES,
+    LINK_SHARE,
+    MAX_BACKLOG_S,
+    MAX_LEAD_S,
+    Datagram,
+    SendPolicy,
+    Urgency,
+    make_link_queue,
+)
+from comfreyarch_daemon import (
+    directnode,
+    healthmessages,
+    limitmessages,
+    loadgossip,
+    rankdatagrams,
+    sendpolicies,
+    tablerelay,
+)
+
+LINK_BYTES_PER_S = 100_000 / LINK_SHARE
+
+
+def make_datagram(tag, size_bytes=1000, address='a', **policy):
+    """Create a datagram that takes a number of bytes on the link."""
+    fields = {'urgency': Urgency.state, 'max_wait_s': 10.0, **policy}
+    fields.setdefault('is_superseded', False)
+    encoded = bytes(size_bytes - HEADER_BYTES)
+    return Datagram(tag, encoded, address, SendPolicy(**fields))
+
+
+def send_all(queue, now):
+    """Run the queue until nothing waits; return the times and tags."""
+    sent = []
+    while queue.waiting_bytes:
+        now = max(now, queue.next_due_at())
+        sent += [(now, datagram.tag) for datagram in queue.take_due(now)]
+    return sent
+
+
+def test_datagrams_are_sent_no_faster_than_the_link_takes_them():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    sent = [
+        (5.0, datagram.tag)
+        for number in range(20)
+        for datagram in queue.offer(make_datagram(str(number)), 5.0)
+    ]
+    sent += send_all(queue, 5.0)
+    assert [tag for _, tag in sent] == [str(number) for number in range(20)]
+    for number, (at, _) in enumerate(sent):
+        assert at == pytest.approx(
+            max(5.0, 5.0 + number * 0.01 - MAX_LEAD_S), abs=1e-6
+        )
+
+
+def test_urgent_datagrams_overtake_those_that_wait():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    for tag in ('first', 'map', 'other map'):
+        queue.offer(make_datagram(tag, urgency=Urgency.bulk), 0)
+    queue.offer(make_datagram('state'), 0)
+    queue.offer(make_datagram('order', urgency=Urgency.control), 0)
+    sent = [tag for _, tag in send_all(queue, 0)]
+    assert sent == ['order', 'state', 'map', 'other map']
+
+
+def test_a_newer_datagram_takes_the_place_of_an_older_one_to_the_same_address():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    queue.offer(make_datagram('first'), 0)
+    for size_bytes in (500, 700, 900):
+        queue.offer(make_datagram('s', size_bytes, is_superseded=True), 0)
+    queue.offer(make_datagram('s', 400, 'b', is_superseded=True), 0)
+    assert queue.waiting_bytes == 1300
+    assert len(send_all(queue, 0)) == 2
+
+
+def test_outdated_datagrams_are_dropped_and_counted():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    queue.offer(make_datagram('first', 50_000), 0)
+    queue.offer(make_datagram('old', max_wait_s=0.3), 0)
+    queue.offer(make_datagram('valid'), 0)
+    assert [tag for _, tag in send_all(queue, 0)] == ['valid']
+    assert queue.take_dropped() == {'old': 1}
+    assert queue.take_dropped() == {}
+
+
+def test_what_waits_is_bounded_and_the_least_urgent_is_dropped_first():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    for _ in range(300):
+        queue.offer(make_datagram('map', urgency=Urgency.bulk), 0)
+        queue.offer(make_datagram('state'), 0)
+    assert queue.waiting_bytes <= MAX_BACKLOG_S * queue.bytes_per_s
+    assert set(queue.take_dropped()) == {'map', 'state'}
+    assert {tag for _, tag in send_all(queue, 0)} == {'state'}
+
+
+def test_a_datagram_larger_than_the_bound_is_sent_by_an_idle_link():
+    queue = make_link_queue(1000)
+    assert len(queue.offer(make_datagram('large', 60_000), 0)) == 1
+
+
+def test_without_a_known_capacity_nothing_waits():
+    queue = make_link_queue(0)
+    for _ in range(100):
+        assert len(queue.offer(make_datagram('any', 60_000), 0)) == 1
+    assert queue.next_due_at() == math.inf
+    assert queue.backlog_s(0) == 0
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_no_datagram_is_lost_or_sent_twice(seed):
+    source = random.Random(seed)
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    now, sent, offered = 0.0, [], 0
+    for number in range(300):
+        now += source.uniform(0, 0.02)
+        datagram = make_datagram(
+            str(number),
+            source.randrange(40, 1500),
+            urgency=source.choice(list(Urgency)),
+            max_wait_s=source.choice([0.05, 10.0]),
+        )
+        sent += [due.tag for due in queue.offer(datagram, now)]
+        sent += [due.tag for due in queue.take_due(now)]
+        offered += 1
+    sent += [tag for _, tag in send_all(queue, now)]
+    assert len(sent) == len(set(sent))
+    assert len(sent) + sum(queue.take_dropped().values()) == offered
+
+
+def test_every_policy_is_that_of_a_tag_in_use():
+    """Fails if a tag is renamed, which would leave it the default policy."""
+    tags = {
+        getattr(module, name)
+        for module in (
+            directnode,
+            healthmessages,
+            limitmessages,
+            loadgossip,
+            rankdatagrams,
+            tablerelay,
+        )
+        for name in dir(module)
+        if name.isupper() and isinstance(getattr(module, name), str)
+    }
+    assert set(sendpolicies.SEND_POLICIES) <= tags
