--- a/packages/comfreyarch-core/src/comfreyarch_core/linkqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/linkqueue.py
@@ -140,6 +140,25 @@
                 self.count_dropped(datagram)
         return None
 
+    def take_urgent(self, now: float) -> list[Datagram]:
+        """Remove all datagrams of orders and states, whatever the link takes.
+
+        A node that stops can send them no later.
+
+        :returns: the datagrams, without those that are outdated.
+        """
+        taken = [
+            self.remove(lane, key)
+            for urgency, lane in self.waiting.items()
+            if urgency <= Urgency.state
+            for key in list(lane)
+        ]
+        return [
+            datagram
+            for datagram, since in taken
+            if now - since <= datagram.policy.max_wait_s
+        ]
+
     def remove(
         self, lane: dict[Key, tuple[Datagram, float]], key: Key
     ) -> tuple[Datagram, float]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -96,10 +96,12 @@
         ]
 
     def close(self) -> None:
-        """Stop listening."""
+        """Send the urgent messages that wait, and stop listening."""
         self.closed = True
         for worker in self.workers:
             worker.kill(block=False)
+        for datagram in self.queue.take_urgent(boot_time()):
+            self.transmit(datagram)
         self.sock.close()
 
     def send(self, message: list[Any], address: str) -> int:
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -113,6 +113,17 @@
     assert queue.backlog_s(0) == 0
 
 
+# Fails if a node that stops keeps back what others need to know of it.
+def test_a_node_that_stops_sends_what_is_urgent_and_not_outdated():
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    queue.offer(make_datagram('first', 50_000), 0)
+    queue.offer(make_datagram('old', max_wait_s=0.3), 0)
+    queue.offer(make_datagram('map', urgency=Urgency.bulk), 0)
+    queue.offer(make_datagram('state'), 0.4)
+    sent = [datagram.tag for datagram in queue.take_urgent(0.5)]
+    assert sent == ['state']
+
+
 @pytest.mark.parametrize('seed', range(20))
 def test_no_datagram_is_lost_or_sent_twice(seed):
     source = random.Random(seed)
