--- a/tests/test_large_group.py
+++ b/tests/test_large_group.py
@@ -95,6 +95,8 @@
         self.copying = {}
         self.unanswered = {}
         self.unarmed_rank = None
+        self.unprepared_rank = None
+        self.maps_sent = 0
         self.heard_at = []
         self.announcements = 0
         self.bytes_sent = 0
@@ -204,6 +206,8 @@
             assert order.rank == rank
             if rank == self.unarmed_rank and isinstance(order.order, ArmMap):
                 return
+            if rank == self.unprepared_rank:
+                return
             if self.random.random() < self.unanswered_share:
                 self.unanswered.setdefault(rank, []).append(self.now)
                 late_s = self.random.uniform(2, 12)
@@ -335,6 +339,7 @@
     def send(self, message, address):
         """Send a message over the simulated links when its turn comes."""
         encoded = cbor2.dumps(message)
+        self.world.maps_sent += message[0] == RELAY
         self.send_encoded(message[0], encoded, address)
         return len(encoded)
 
@@ -446,6 +451,26 @@
     assert world.longest_silence_s() < LEADER_TIMEOUT_S
 
 
+# Fails if a map is sent again while it still waits for a link, which fills the link
+# with what is under way already.
+@pytest.mark.parametrize('size', [63, 96, 192, 384])
+def test_a_map_is_sent_to_each_rank_once(size, monkeypatch):
+    world = make_world(size, 0, monkeypatch, 48_000)
+    assert world.change(5)[0] == 'changed'
+    assert world.maps_sent == size - 1
+
+
+def test_the_ranks_that_did_not_prepare_a_map_are_logged(monkeypatch):
+    world = make_world(96, 0, monkeypatch)
+    world.unprepared_rank = 5
+    assert world.change(5)[0] == 'not prepared'
+    logged = [
+        fields for name, fields in world.log.events if name == 'map_unprepared'
+    ]
+    assert [fields['unreached'] for fields in logged] == [[5]]
+    assert logged[0]['copying'] == logged[0]['silent'] == []
+
+
 # Fails if the maps that end an abandoned change are sent again before they can
 # have passed the leader's link, while the whole group waits.
 def test_an_abandoned_change_ends_soon_and_the_leader_is_heard(monkeypatch):
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -3,7 +3,9 @@
 import math
 import random
 
+import gevent
 import pytest
+from direct_world import RecordingLog
 
 from comfreyarch_core.linkqueue import (
     HEADER_BYTES,
@@ -24,6 +26,7 @@
     sendpolicies,
     tablerelay,
 )
+from comfreyarch_daemon.datagrams import Datagrams
 
 LINK_BYTES_PER_S = 100_000 / LINK_SHARE
 
@@ -145,6 +148,50 @@
     assert len(sent) + sum(queue.take_dropped().values()) == offered
 
 
+# Fails if a link with room for one datagram can lose what a node sends to it.
+@pytest.mark.parametrize('seed', range(20))
+def test_a_link_never_holds_much_more_than_one_datagram(seed):
+    source = random.Random(seed)
+    queue = make_link_queue(LINK_BYTES_PER_S)
+    largest, now, held, checked_at = 16_384, 0.0, 0.0, 0.0
+    for number in range(500):
+        now += source.choice([0, 0, 0.001, 0.3])
+        datagram = make_datagram(str(number), source.randrange(40, largest))
+        for due in (*queue.offer(datagram, now), *queue.take_due(now)):
+            held = max(0.0, held - (now - checked_at) * LINK_BYTES_PER_S)
+            held += due.size_bytes
+            checked_at = now
+            assert held <= largest + MAX_LEAD_S * LINK_BYTES_PER_S
+
+
+def receive_all(received, count):
+    """Wait until a number of messages arrived."""
+    for _ in range(500):
+        if len(received) >= count:
+            return
+        gevent.sleep(0.01)
+
+
+def test_messages_that_wait_are_sent_without_a_further_one():
+    received = []
+    log = RecordingLog()
+    receiver = Datagrams('127.0.0.1:0', log)
+    receiver.handlers['t'] = lambda message, _: received.append(message[1])
+    receiver.start()
+    host, port = receiver.sock.getsockname()
+    sender = Datagrams('127.0.0.1:0', log, link_bytes_per_s=50_000)
+    sender.start()
+    try:
+        for number in range(8):
+            sender.send(['t', number, bytes(1000)], f'{host}:{port}')
+        assert sender.queue.waiting_bytes > 0
+        receive_all(received, 8)
+        assert received == list(range(8))
+    finally:
+        sender.close()
+        receiver.close()
+
+
 def test_every_policy_is_that_of_a_tag_in_use():
     """Fails if a tag is renamed, which would leave it the default policy."""
     tags = {
