--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -3,9 +3,9 @@
 import math
 import random
 
-import gevent
 import pytest
 from direct_world import RecordingLog
+from gevent.event import Event
 
 from comfreyarch_core.linkqueue import (
     HEADER_BYTES,
@@ -164,19 +164,18 @@
             assert held <= largest + MAX_LEAD_S * LINK_BYTES_PER_S
 
 
-def receive_all(received, count):
-    """Wait until a number of messages arrived."""
-    for _ in range(500):
-        if len(received) >= count:
-            return
-        gevent.sleep(0.01)
-
-
 def test_messages_that_wait_are_sent_without_a_further_one():
     received = []
+    has_last = Event()
+
+    def receive(message, _address):
+        received.append(message[1])
+        if message[1] == 7:
+            has_last.set()
+
     log = RecordingLog()
     receiver = Datagrams('127.0.0.1:0', log)
-    receiver.handlers['t'] = lambda message, _: received.append(message[1])
+    receiver.handlers['t'] = receive
     receiver.start()
     host, port = receiver.sock.getsockname()
     sender = Datagrams('127.0.0.1:0', log, link_bytes_per_s=50_000)
@@ -185,7 +184,7 @@
         for number in range(8):
             sender.send(['t', number, bytes(1000)], f'{host}:{port}')
         assert sender.queue.waiting_bytes > 0
-        receive_all(received, 8)
+        assert has_last.wait(10)
         assert received == list(range(8))
     finally:
         sender.close()
