--- a/packages/comfreyarch-core/src/comfreyarch_core/linkqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/linkqueue.py
@@ -10,6 +10,8 @@
 import math
 from dataclasses import dataclass, field
 
+from comfreyarch_core.reportpacing import DATAGRAM_OVERHEAD_BYTES
+
 # Share of the link that datagrams may use. Streams, orders to engines and calls to
 # the store need the rest.
 LINK_SHARE = 0.8
@@ -18,8 +20,6 @@
 MAX_LEAD_S = 0.004
 # Maximum time in which the link would send all that waits.
 MAX_BACKLOG_S = 1.0
-# Bytes of a datagram's headers.
-HEADER_BYTES = 28
 
 
 class Urgency(enum.IntEnum):
@@ -60,7 +60,7 @@
     @property
     def size_bytes(self) -> int:
         """Return the bytes that the datagram takes on the link."""
-        return len(self.encoded) + HEADER_BYTES
+        return len(self.encoded) + DATAGRAM_OVERHEAD_BYTES
 
 
 # Identifies a waiting datagram; the number is 0 if a newer one replaces it.
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -8,7 +8,6 @@
 from gevent.event import Event
 
 from comfreyarch_core.linkqueue import (
-    HEADER_BYTES,
     LINK_SHARE,
     MAX_BACKLOG_S,
     MAX_LEAD_S,
@@ -17,6 +16,7 @@
     Urgency,
     make_link_queue,
 )
+from comfreyarch_core.reportpacing import DATAGRAM_OVERHEAD_BYTES
 from comfreyarch_daemon import (
     directnode,
     healthmessages,
@@ -35,7 +35,7 @@
     """Create a datagram that takes a number of bytes on the link."""
     fields = {'urgency': Urgency.state, 'max_wait_s': 10.0, **policy}
     fields.setdefault('is_superseded', False)
-    encoded = bytes(size_bytes - HEADER_BYTES)
+    encoded = bytes(size_bytes - DATAGRAM_OVERHEAD_BYTES)
     return Datagram(tag, encoded, address, SendPolicy(**fields))
 
 
