Keep sending after a message to an invalid address

Messages that wait are sent by a worker of their own. An address that cannot be split, or a port beyond 65535, from a faulty node or the table of peers, would have ended it and silenced the node. Found by reading the change; five cases fail without the fix. Before the queue such an error ended only the handler of one message.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -35,6 +35,8 @@
     cbor2.CBORError,
     zlib.error,
 )
+# Exceptions that sending may raise, the first three for an address that is invalid.
+SEND_ERRORS = (AttributeError, OverflowError, ValueError, OSError)
 MAX_DATAGRAM_BYTES = 65_000
 # Pause after the system failed to receive a datagram.
 RETRY_S = 0.1
@@ -139,7 +141,7 @@
         self.sent.add(datagram.tag, len(datagram.encoded))
         try:
             self.sock.sendto(datagram.encoded, split_address(datagram.address))
-        except OSError as error:
+        except SEND_ERRORS as error:
             self.log.write(
                 'datagram_unsent', address=datagram.address, why=str(error)
             )
--- a/tests/test_link_queue.py
+++ b/tests/test_link_queue.py
@@ -191,6 +191,25 @@
         receiver.close()
 
 
+# Fails if an address that a faulty node sent, or the table of peers holds, ends the
+# worker that sends all that waits.
+@pytest.mark.parametrize(
+    'address', ['', 'x', 7, '127.0.0.1:99999', '127.0.0.1:y']
+)
+def test_a_message_to_an_invalid_address_does_not_stop_the_others(address):
+    log = RecordingLog()
+    datagrams = Datagrams('127.0.0.1:0', log, link_bytes_per_s=50_000)
+    try:
+        datagrams.send(['t', 0, bytes(1000)], '127.0.0.1:9')
+        datagrams.send(['t', 1, bytes(1000)], address)
+        assert datagrams.queue.waiting_bytes > 0
+        for due in datagrams.queue.take_due(datagrams.queue.next_due_at()):
+            datagrams.transmit(due)
+        assert [name for name, _ in log.events] == ['datagram_unsent']
+    finally:
+        datagrams.close()
+
+
 def test_every_policy_is_that_of_a_tag_in_use():
     """Fails if a tag is renamed, which would leave it the default policy."""
     tags = {
