--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -28,6 +28,9 @@
 SERVER_PORT = 8300
 GRACE_PERIOD_S = 8
 RESTART_DELAY_S = 0.4
+# Capacities so small that datagrams wait for the link.
+SIDECAR_LINK_MBPS = 0.4
+ENTRY_LINK_MBPS = 4
 SLOTS = 6
 # Bounds of the first milestone's deployments, under the platform's names.
 BOUNDS = {
@@ -229,6 +232,9 @@
             'zone': ZONES[number % len(ZONES)],
             'internalPortRange': [7340, 7355],
             'bounds': BOUNDS,
+            'limits': {
+                'linkMbps': SIDECAR_LINK_MBPS if app else ENTRY_LINK_MBPS
+            },
             'platform': {'address': format_address(STORE_LINK)},
             'listenAddresses': {
                 'frontend': f'{host}:{CALLERS_PORT}',
