Evacuate availability zones at direct entries

Cause: rows evacuate/ZONE of the configuration's table were not read, so entries kept sending to a zone that an operator had asked to evacuate.

Change: zoneevacuation records the requests; UpstreamSelector leaves the zone's upstreams out and accepts none of them. A request that has a slot is checked again after its connection opened. Waiting requests are placed again when an evacuation starts or ends, and refused as not run if no upstream is left. An entry that resumes after a freeze holds sends for up to 0.75 s until its table is confirmed, where the settings state evacuationMs. A removal that only a full read reveals now raises the version told to peers.

--- a/packages/comfreyarch-core/src/comfreyarch_core/tablefreshness.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tablefreshness.py
@@ -34,6 +34,9 @@
 MAX_RUN_GAP_S = 0.5
 # Time after such a pause within which all messages that waited are read.
 BACKLOG_S = 0.25
+# Time after such a pause within which the node may wait for newer knowledge: the
+# backlog is read, and a peer's next confirmation (each 0.5 s) arrives.
+RESUME_HOLD_S = 0.75
 
 
 @dataclass(frozen=True, slots=True)
@@ -178,17 +181,27 @@
 
     :param ran_at: time at which the process last recorded that it runs.
     :param distrusted_until: time until which such messages may be read.
+    :param held_until: time until which newer knowledge may be waited for.
     """
 
     ran_at: float
     distrusted_until: float = 0
+    held_until: float = 0
 
     def record_run(self, now: float) -> None:
         """Record that the process runs; called every RUN_CHECK_INTERVAL_S."""
         if now - self.ran_at > MAX_RUN_GAP_S:
             self.distrusted_until = now + BACKLOG_S
+            self.held_until = now + RESUME_HOLD_S
         self.ran_at = now
 
+    def has_resumed(self, now: float) -> bool:
+        """Check whether the process has not run for long until recently.
+
+        :returns: False once newer knowledge has had time to arrive.
+        """
+        return now - self.ran_at > MAX_RUN_GAP_S or now < self.held_until
+
     def is_backlogged(self, now: float) -> bool:
         """Check whether a message that is read now may have waited.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -5,7 +5,8 @@
 are strays: they belong to entries that are gone, and their weight decays. A
 request goes to the upstream with the lowest load per slot, and waits if all
 slots are taken. Upstreams that recently failed are paused; one that announces
-that it leaves, or that it wants no request for a time, gets none.
+that it leaves, or that it wants no request for a time, gets none, nor do those
+of a zone that is evacuated.
 """
 
 import math
@@ -22,6 +23,10 @@
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
 from comfreyarch_core.upstreamlist import UpstreamEntry
+from comfreyarch_core.zoneevacuation import (
+    ZoneEvacuations,
+    make_zone_evacuations,
+)
 
 # Half-life of the weight of strays: requests that an upstream reports and no
 # entry accounts for.
@@ -136,8 +141,10 @@
     :param availability_zone: the entry's availability zone.
     :param announcements: what upstreams announced with their answers.
     :param permits: limits the sends to upstreams that announced a limit.
+    :param evacuations: zones whose upstreams get no request.
     :param views: known upstreams by name, including leaving ones.
-    :param services: upstreams that accept new requests, by service.
+    :param services: upstreams that neither leave nor are in an evacuated zone,
+        by service.
     :param pass_times: last reported pass time, by group.
     """
 
@@ -148,6 +155,7 @@
         default_factory=make_announcements
     )
     permits: SendPermits = field(default_factory=Unlimited)
+    evacuations: ZoneEvacuations = field(default_factory=make_zone_evacuations)
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
     circuit_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
@@ -161,7 +169,10 @@
             view = self.views.get(entry.name) or UpstreamView(entry)
             view.entry = entry
             views[entry.name] = view
-            if not self.announcements.is_leaving(entry):
+            if not (
+                self.announcements.is_leaving(entry)
+                or self.evacuations.includes(entry)
+            ):
                 services.setdefault(entry.service, []).append(view)
         self.views = views
         self.services = services
@@ -184,8 +195,11 @@
     def accepts(self, view: UpstreamView, now: float) -> bool:
         """Check whether an upstream may get new requests.
 
-        :returns: False if it is leaving, paused or unhealthy, or wants none.
+        :returns: False if it is leaving, paused or unhealthy, wants none, or is
+            in an evacuated zone.
         """
+        if self.evacuations.includes(view.entry):
+            return False
         return (
             view.paused_until <= now
             and self.announcements.hold_end(view.entry.name) <= now
@@ -318,6 +332,8 @@
         """
         if not self.circuit_breaker(service).may_send(now):
             return None
+        if self.evacuations.is_outdated(now):
+            return None
         ready = [
             view
             for view in self.services.get(service, ())
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -148,6 +148,10 @@
             self.log,
         )
         dispatcher.on_load_change = self.load_gossip.load_changed.set
+        if settings.evacuation_s:
+            self.entry.forwarder.zone_control.evacuations.is_outdated = partial(
+                self.tables.is_outdated, 'configuration'
+            )
         self.load_gossip.read_table_versions = self.tables.versions
         self.load_gossip.read_confirmations = self.tables.confirmations
         self.load_gossip.on_tables = self.handle_peer_tables
@@ -223,6 +227,7 @@
                 self.entry.forwarder.entry_count.record(entries, boot_time())
             self.tables.report_ages()
             self.entry.forwarder.limits.report()
+            self.entry.forwarder.zone_control.report()
             self.entry.forwarder.pool.trim()
 
     def check_era(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
@@ -21,6 +21,8 @@
     :param grace_s: time from a stop signal to the forced end of the process.
     :param seed: seed of the entry's random choices.
     :param link_bytes_per_s: capacity of the instance's link, 0 if unknown.
+    :param evacuation_s: time within which the evacuation of a zone must be in
+        force, 0 if there is no such rule.
     """
 
     node: str
@@ -34,3 +36,4 @@
     grace_s: float
     seed: int
     link_bytes_per_s: float = 0
+    evacuation_s: float = 0
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -88,11 +88,7 @@
                 self.request_permits(waiter.service, FUTURE_DEMAND, now)
                 return view
         if not self.has_candidates(waiter):
-            raise DispatchError(
-                f'service {waiter.service!r} has no upstream left to try',
-                0,
-                has_upstreams=False,
-            )
+            raise self.make_unplaceable_error(waiter)
         self.check_hold(waiter, now)
         self.update_limit(waiter.service, queue, now)
         # Waits for slots tell nothing of the wait for a permit.
@@ -168,6 +164,25 @@
         views = self.selector.services.get(waiter.service, ())
         return any(view.entry.name not in waiter.avoid for view in views)
 
+    def make_unplaceable_error(self, waiter: Waiter) -> DispatchError:
+        """Make the error for a request that no upstream may run.
+
+        :returns: the error.
+        """
+        why = f'service {waiter.service!r} has no upstream left to try'
+        zones = self.selector.evacuations.zones
+        if zones:
+            why = f'{why}; evacuated zones: {", ".join(sorted(zones))}'
+        return DispatchError(why, 0, has_upstreams=False)
+
+    def refuse_unplaceable(self) -> None:
+        """Refuse the waiting requests that evacuations leave no upstream."""
+        if not self.selector.evacuations.zones:
+            return
+        for waiter in list(self.results):
+            if not self.has_candidates(waiter):
+                self.refuse(waiter, self.make_unplaceable_error(waiter))
+
     def check_hold(self, waiter: Waiter, now: float) -> None:
         """Check that an upstream of the service wants requests in time.
 
@@ -212,6 +227,7 @@
     def serve_queues(self) -> None:
         """Assign free slots to waiting requests in the order of the queue."""
         now = boot_time()
+        self.refuse_unplaceable()
         for service, queue in self.queues.items():
             self.update_limit(service, queue, now)
             self.serve_queue(queue, now)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -33,6 +33,7 @@
     ConnectionPool,
     boot_time,
 )
+from comfreyarch_daemon.zonecontrol import ZoneControl
 
 # Entries assumed to share the retry budget until they are counted.
 ASSUMED_ENTRIES = 32
@@ -147,6 +148,7 @@
     :param limits: request limits that upstreams announce.
     :param retry_shares: retry budgets by service.
     :param senders: the requests that wait or are sent now.
+    :param zone_control: evacuations of availability zones.
     """
 
     __slots__ = (
@@ -165,6 +167,7 @@
         'selector',
         'senders',
         'started_at',
+        'zone_control',
     )
 
     def __init__(
@@ -184,6 +187,7 @@
         self.metrics = metrics
         self.pool = ConnectionPool()
         self.crash_guard = SharedCrashGuard(log, metrics)
+        self.zone_control = ZoneControl(dispatcher, log, metrics)
         self.limits = SharedLimits(log.node, dispatcher, log, metrics)
         self.limits.share_with(lambda: self.entry_count.highest(boot_time()))
         self.retry_shares: dict[str, RetryShare] = {}
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -285,10 +285,12 @@
             except BaseException:
                 self.forwarder.dispatcher.release(view)
                 raise
-            if boot_time() < send_by:
+            now = boot_time()
+            evacuations = self.forwarder.selector.evacuations
+            if now < send_by and evacuations.may_send(view.entry, now):
                 return view, connection
-            # The permit ended while the connection opened, or the process did
-            # not run.
+            # The permit ended or the evacuation of the zone began while the
+            # connection opened, or the process did not run.
             connection.close()
             self.forwarder.dispatcher.release(view)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
@@ -28,6 +28,8 @@
     :param decode_configuration: decodes the content of that row.
     :param decode_upstream: decodes key, content and version of a row of the
         upstreams.
+    :param decode_evacuated_zone: decodes the key of a row of the configuration's
+        table by which an operator requests the evacuation of a zone.
     """
 
     read_settings: Callable[[Path], DirectSettings]
@@ -40,10 +42,11 @@
     configuration_key: str
     decode_configuration: Callable[[bytes], RouteTable]
     decode_upstream: Callable[[str, bytes, int], UpstreamEntry]
+    decode_evacuated_zone: Callable[[str], str | None] = lambda _key: None
 
 
 class ConfigurationListener:
-    """Apply configurations from the store to an entry."""
+    """Apply configurations and evacuations from the store to an entry."""
 
     __slots__ = ('adapter', 'entry', 'log')
 
@@ -55,6 +58,7 @@
 
     def apply_change(self, change: Change) -> None:
         """Apply the row of the configuration; log one that is unreadable."""
+        self.apply_evacuations(change)
         for row in change.rows:
             if row.key != self.adapter.configuration_key:
                 continue
@@ -65,6 +69,20 @@
                 continue
             self.entry.apply_configuration(table)
 
+    def apply_evacuations(self, change: Change) -> None:
+        """Start the evacuations requested by rows; end those of removed rows.
+
+        The content of the rows is ignored.
+        """
+        for row in change.rows:
+            zone = self.adapter.decode_evacuated_zone(row.key)
+            if zone is not None:
+                self.entry.forwarder.zone_control.start(zone)
+        for key in change.removed:
+            zone = self.adapter.decode_evacuated_zone(key)
+            if zone is not None:
+                self.entry.forwarder.zone_control.end(zone)
+
     def store_lost(self) -> None:
         """Do nothing; the last known configuration stays in force."""
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -13,6 +13,7 @@
 
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_core.tablefreshness import (
+    MAX_CONFIRMED_AGE_S,
     RUN_CHECK_INTERVAL_S,
     Confirmation,
     make_pause_detector,
@@ -186,6 +187,17 @@
             if watch.tracker.version >= confirmation.floor:
                 watch.freshness.confirm_by_peer(now - confirmation.age_s)
 
+    def is_outdated(self, name: str, now: float) -> bool:
+        """Check whether newer knowledge of a table may be about to be read.
+
+        :returns: True for a moment after the process did not run, until the
+            table is confirmed.
+        """
+        if not self.pause_detector.has_resumed(now):
+            return False
+        age_s = self.watches[name].freshness.age_s(now)
+        return age_s is not None and age_s > MAX_CONFIRMED_AGE_S
+
     def versions(self) -> dict[str, int]:
         """Return the version of the newest known row of each table.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -277,6 +277,9 @@
         """
         self.metrics.gauge('store_era', era_of(state.version))
         self.record_newest(state)
+        if change.removed:
+            # Peers may not have seen the removals, which are no rows here.
+            self.newest_version = max(self.newest_version, state.version)
         if is_restored:
             self.log.write(
                 'store_restored',
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -375,6 +375,7 @@
         'retryWindowS': 10,
         'retryAllowance': 184,
         'stall_ms': 1500,
+        'evacuationMs': 5000,
     },
     'platform': {'address': '10.200.1.7:8223', 'form': 'table'},
     'later': 1,
@@ -388,6 +389,7 @@
     assert settings.callers == '10.1.0.40:1'
     assert settings.peers == '10.1.0.40:7340'
     assert (settings.retries.ratio, settings.retries.allowance) == (0.2, 184)
+    assert settings.evacuation_s == 5
     with pytest.raises(SettingsError, match="'app' .* is missing"):
         read_rank_settings(path)
 
