Publish evacuations of zones, and obey them over links

Cause: operators of comfreyarchd had no way to keep requests from a zone but to stop each of its upstreams, which moves experts as well.

Entries choose no sidecar of these zones and link to others instead. Sidecars there refuse new and waiting attempts as not run and keep their ranks in the group.

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/changes.py
@@ -1,4 +1,4 @@
-"""Change the published configuration: publish, stop, resume, release."""
+"""Change the published configuration: publish, stop, evacuate, release."""
 
 from collections.abc import Callable
 from pathlib import Path
@@ -24,7 +24,7 @@
 from comfreyarch_daemon.store import StoreClient, StoreError
 
 # Kinds that commands and sidecars publish, and that files usually lack.
-SYSTEM_KINDS = ('stops', 'quarantines')
+SYSTEM_KINDS = ('stops', 'evacuations', 'quarantines')
 
 
 def load_set(paths: list[Path]) -> RawSet:
@@ -61,7 +61,7 @@
 
 
 def preserve_system_kinds(raw: RawSet, current: RawSet) -> RawSet:
-    """Preserve planned stops and quarantines unless the files define them.
+    """Preserve stops, evacuations and quarantines that the files lack.
 
     :returns: the set to publish.
     """
@@ -207,6 +207,46 @@
     }
 
 
+def add_evacuation(zone: str) -> Callable[[RawSet], RawSet]:
+    """Create the change that requests the evacuation of a zone.
+
+    :returns: the change.
+    """
+    return lambda raw: {
+        **raw,
+        'evacuations': {
+            **raw.get('evacuations', {}),
+            zone: {'availability_zone': zone},
+        },
+    }
+
+
+def remove_evacuation(zone: str) -> Callable[[RawSet], RawSet]:
+    """Create the change that withdraws the evacuation of a zone.
+
+    :returns: the change.
+    """
+    return lambda raw: {
+        **raw,
+        'evacuations': {
+            key: evacuation
+            for key, evacuation in raw.get('evacuations', {}).items()
+            if evacuation['availability_zone'] != zone
+        },
+    }
+
+
+def list_evacuated(raw: RawSet) -> list[str]:
+    """List the evacuated zones of a configuration.
+
+    :returns: their names, sorted.
+    """
+    evacuations = raw.get('evacuations', {}).values()
+    return sorted(
+        {evacuation['availability_zone'] for evacuation in evacuations}
+    )
+
+
 def remove_quarantine(digest: str) -> Callable[[RawSet], RawSet]:
     """Create the change that releases a quarantined digest.
 
--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -99,13 +99,14 @@
     ] = None,
     as_json: JsonOption = False,
 ) -> None:
-    """Show all nodes, whether they are ready, and their revision."""
+    """Show all nodes, whether they are ready, and the evacuated zones."""
     if entries:
         limits.show_limits(entries, as_json=as_json)
         return
     if not store:
         raise CommandError('status needs --store, or --entry for limits')
-    node_pages = list(read_pages(list_instances(open_store(store)), '/status'))
+    client = open_store(store)
+    node_pages = list(read_pages(list_instances(client), '/status'))
     if as_json:
         print_json(
             {
@@ -119,6 +120,9 @@
         for node_page in node_pages
     ]
     print_table('Nodes', ('node', 'role', 'revision', 'ready', 'load'), rows)
+    zones = changes.list_evacuated(changes.read_published(client).raw)
+    if zones:
+        print_line(f'evacuated zones: {", ".join(zones)}')
 
 
 def status_row(node: str, page: dict[str, Any] | None) -> tuple[object, ...]:
@@ -139,7 +143,7 @@
             load = f'{load}, experts of stopping ranks: {evacuated}'
     state = 'yes' if page['ready'] else 'no'
     if page.get('leaving'):
-        state = 'leaving'
+        state = 'evacuated' if page.get('zone_evacuated') else 'leaving'
     return (node, page['role'], page['revision'], state, load)
 
 
@@ -163,6 +167,21 @@
     changes.publish_edit(open_store(store), changes.remove_stop(name))
 
 
+@app.command()
+def evacuate(
+    zone: Annotated[str, typer.Argument(help='Availability zone.')],
+    store: StoreOption,
+    *,
+    end: Annotated[
+        bool,
+        typer.Option('--end', help='Withdraw the request.'),
+    ] = False,
+) -> None:
+    """Request that upstreams of a zone get no new request, or withdraw it."""
+    make_change = changes.remove_evacuation if end else changes.add_evacuation
+    changes.publish_edit(open_store(store), make_change(zone))
+
+
 @app.command()
 def claims(store: StoreOption, *, as_json: JsonOption = False) -> None:
     """List claims in progress and claims with an unknown outcome."""
--- a/packages/comfreyarch-core/src/comfreyarch_core/configset.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/configset.py
@@ -23,6 +23,7 @@
     routes: dict[str, objects.Route] = field(default_factory=dict)
     objectives: dict[str, objects.Objective] = field(default_factory=dict)
     stops: dict[str, objects.Stop] = field(default_factory=dict)
+    evacuations: dict[str, objects.Evacuation] = field(default_factory=dict)
     quarantines: dict[str, objects.Quarantined] = field(default_factory=dict)
 
     def pool_of(self, group: str) -> str:
@@ -34,3 +35,20 @@
         """
         model_group = self.model_groups.get(group)
         return group if model_group is None else model_group.model
+
+    def evacuated_zones(self) -> frozenset[str]:
+        """Return the availability zones whose upstreams get no new request.
+
+        :returns: zones, also those without an upstream.
+        """
+        return frozenset(
+            evacuation.availability_zone
+            for evacuation in self.evacuations.values()
+        )
+
+    def is_evacuated(self, zone: str) -> bool:
+        """Check whether an availability zone is evacuated.
+
+        :returns: True if its upstreams get no new request.
+        """
+        return zone in self.evacuated_zones()
--- a/packages/comfreyarch-core/src/comfreyarch_core/objects.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/objects.py
@@ -114,6 +114,12 @@
     entry: str = ''
 
 
+class Evacuation(ConfigObject, frozen=True):
+    """Evacuate an availability zone: its upstreams get no new request."""
+
+    availability_zone: str
+
+
 class Quarantined(ConfigObject, frozen=True):
     """Quarantine a request that crashed its upstreams; the name is its digest.
 
@@ -133,5 +139,6 @@
     'routes': Route,
     'objectives': Objective,
     'stops': Stop,
+    'evacuations': Evacuation,
     'quarantines': Quarantined,
 }
--- a/packages/comfreyarch-core/src/comfreyarch_core/references.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/references.py
@@ -30,6 +30,7 @@
     yield from team_faults(config)
     yield from route_faults(config)
     yield from stop_faults(config)
+    yield from evacuation_faults(config)
 
 
 def group_faults(config: ConfigSet) -> Iterator[Fault]:
@@ -174,6 +175,22 @@
             )
 
 
+def evacuation_faults(config: ConfigSet) -> Iterator[Fault]:
+    """Yield the faults of evacuations.
+
+    A zone without an upstream is no fault: its upstreams may be added later.
+    """
+    for name, evacuation in config.evacuations.items():
+        if not evacuation.availability_zone:
+            yield Fault(
+                '',
+                f'evacuations.{name}',
+                'availability_zone',
+                'the name of the zone is empty',
+                'name the zone to evacuate',
+            )
+
+
 def stop_faults(config: ConfigSet) -> Iterator[Fault]:
     """Yield the faults of planned stops."""
     for name, stop in config.stops.items():
--- a/packages/comfreyarch-core/src/comfreyarch_core/routing.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routing.py
@@ -2,6 +2,7 @@
 
 An entry holds links to a subset of each group's sidecars. The subset is
 chosen by rendezvous hashing and prefers the entry's own availability zone.
+Sidecars of evacuated zones get no attempt.
 For each attempt, the entry picks the sidecar with the lowest predicted wait
 among two drawn at random and the two that the prompt's prefix hashes to,
 which are likely to have the prefix cached and get a bonus for it.
@@ -35,6 +36,7 @@
 # Lower bound of a rank's share, which divides its predicted load.
 MIN_SHARE = 0.05
 NO_NODES: frozenset[str] = frozenset()
+NO_ZONES: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +49,14 @@
     availability_zone: str
 
 
+def leave_out_zones(peers: Iterable[Peer], zones: frozenset[str]) -> list[Peer]:
+    """Leave out the peers of evacuated zones.
+
+    :returns: the peers that may get attempts.
+    """
+    return [peer for peer in peers if peer.availability_zone not in zones]
+
+
 def choose_subset(
     entry: str,
     availability_zone: str,
@@ -150,6 +160,7 @@
     :param source: random source, seeded by the caller.
     :param views: known sidecars by node name.
     :param groups: node names by group.
+    :param evacuated_zones: zones whose sidecars get no attempt.
     :param heartbeats: last heartbeat and arrival time of every node, including
         nodes outside the current subset.
     """
@@ -157,6 +168,7 @@
     source: random.Random
     views: dict[str, SidecarView] = field(default_factory=dict)
     groups: dict[str, list[str]] = field(default_factory=dict)
+    evacuated_zones: frozenset[str] = NO_ZONES
     heartbeats: dict[str, tuple[Beat, float]] = field(default_factory=dict)
 
     def update_peers(self, peers: Iterable[Peer]) -> None:
@@ -206,7 +218,32 @@
         """
         nodes = self.groups.get(group, [])
         views = [self.views[node] for node in nodes if node not in avoid]
-        return [view for view in views if view.is_available(now)]
+        return [
+            view
+            for view in views
+            if view.is_available(now)
+            and view.peer.availability_zone not in self.evacuated_zones
+        ]
+
+    def count_peers(self, zone: str) -> int:
+        """Count the sidecars of a zone that the entry links to.
+
+        :returns: a number of sidecars.
+        """
+        return sum(
+            view.peer.availability_zone == zone for view in self.views.values()
+        )
+
+    def in_flight(self, zone: str) -> int:
+        """Count this entry's attempts in flight in a zone.
+
+        :returns: a number of attempts.
+        """
+        return sum(
+            view.in_flight
+            for view in self.views.values()
+            if view.peer.availability_zone == zone
+        )
 
     def choose(
         self,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -10,10 +10,12 @@
 from comfreyarch_core.routing import (
     Peer,
     choose_subset,
+    leave_out_zones,
     make_router,
     subset_size,
 )
 from comfreyarch_daemon.callers import CallerServer
+from comfreyarch_daemon.linkevacuation import LinkEvacuation
 from comfreyarch_daemon.linktransport import Link
 from comfreyarch_daemon.logs import log_change
 from comfreyarch_daemon.node import Node
@@ -34,6 +36,7 @@
     """Role of a node that serves callers.
 
     :param subset: sidecars that the entry links to.
+    :param evacuation: evacuated zones, whose sidecars get no attempt.
     :param leaving: whether a planned stop is in progress.
     :param stopping: whether this process is ending.
     """
@@ -41,6 +44,7 @@
     __slots__ = (
         'caller_server',
         'config',
+        'evacuation',
         'executor',
         'instances',
         'leaving',
@@ -61,6 +65,7 @@
         self.settings: Settings = settings
         self.router = make_router(settings.seed or settings.node)
         self.executor = RequestExecutor(node, self.router)
+        self.evacuation = LinkEvacuation(self.router, node.metrics)
         self.outcomes = OutcomeRecorder(node.metrics)
         location = EntryLocation(settings.node, settings.availability_zone)
         self.limiter = TeamLimiter(location, self.send)
@@ -124,8 +129,9 @@
         return link.send(frame) if link is not None else False
 
     def renew(self) -> None:
-        """Renew the quota shares of the active teams."""
+        """Renew the quota shares of the active teams, and report gauges."""
         self.limiter.renew(time.monotonic())
+        self.evacuation.report()
 
     def apply_config(self, config: ConfigSet) -> None:
         """Apply a new configuration."""
@@ -135,6 +141,7 @@
         self.caller_server.reader = RequestReader(config)
         stops = {stop.entry for stop in config.stops.values()}
         self.mark_leaving(leaving=self.stopping or self.settings.node in stops)
+        self.evacuation.apply(config.evacuated_zones())
         self.update_subset()
 
     def update_instances(self, instances: list[Instance]) -> None:
@@ -160,22 +167,34 @@
             pools.setdefault(pool, []).append(peer)
         size = subset_size(len(pools))
         chosen = [
-            self.choose_pool_subset(peers, size) for peers in pools.values()
+            self.choose_pool_subset(pool, peers, size)
+            for pool, peers in pools.items()
         ]
         self.subset = [peer for peers in chosen for peer in peers]
         self.router.update_peers(self.subset)
 
-    def choose_pool_subset(self, peers: list[Peer], size: int) -> list[Peer]:
+    def choose_pool_subset(
+        self, pool: str, peers: list[Peer], size: int
+    ) -> list[Peer]:
         """Choose the sidecars of one pool to link to.
 
-        A service needs all of them, since its calls are routed by key.
+        A service needs all of them, since its calls are routed by key. Those of
+        evacuated zones are replaced by others, and stay linked for the attempts
+        in flight there.
 
         :returns: the chosen peers.
         """
-        if peers[0].group in self.config.service_groups:
+        if pool in self.config.service_groups:
             return peers
+        usable = leave_out_zones(peers, self.router.evacuated_zones)
+        evacuated = [
+            peer
+            for peer in peers
+            if peer not in usable and peer.node in self.router.views
+        ]
         zone = self.settings.availability_zone
-        return choose_subset(self.settings.node, zone, peers, size)
+        chosen = choose_subset(self.settings.node, zone, usable, size)
+        return [*chosen, *evacuated]
 
     def wanted_peers(self) -> list[Instance]:
         """List the instances to keep links to.
@@ -239,6 +258,7 @@
             'leaving': self.leaving,
             'open_requests': self.caller_server.open_requests,
             'subset': sorted(peer.node for peer in self.subset),
+            'evacuated_zones': sorted(self.router.evacuated_zones),
         }
 
     def report(self) -> dict[str, Any]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecar.py
@@ -121,12 +121,20 @@
     def update_leaving(self) -> None:
         """Start leaving if any source requires it, resume once none does.
 
-        The sources are a configured stop, the instance list, and the end of
-        this process.
+        The sources are a configured stop, an evacuation of the zone, the
+        instance list, and the end of this process. The rank of a sidecar that
+        leaves stays in its group.
         """
         stops = {stop.upstream for stop in self.config.stops.values()}
         stop_configured = self.upstream.name in stops
-        leaving = stop_configured or self.instance_leaving or self.stopping
+        leaving = any(
+            (
+                stop_configured,
+                self.config.is_evacuated(self.node.settings.availability_zone),
+                self.instance_leaving,
+                self.stopping,
+            )
+        )
         if leaving == self.leaving:
             return
         self.leaving = leaving
@@ -312,6 +320,9 @@
             'group': upstream.group if upstream is not None else '',
             'upstream_up': self.upstream_health.up,
             'leaving': self.leaving,
+            'zone_evacuated': self.config.is_evacuated(
+                self.node.settings.availability_zone
+            ),
             'queued': len(admission.queue),
             'running': len(admission.running),
             'claims_open': len(self.attempt_server.claim_driver.manager.keys),
