Soak: evacuate zones, and check that nothing arrives there

Cause: the soak did not exercise evacuations.

Change: the fault evacuate writes the row of a zone, and removes it some time after the bound of 5 s; the operator repeats the requests after a restore. Servers write their zone with each event, and a check finds requests that arrive there after the bound.

The soak itself was not run.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -73,6 +73,7 @@
         KEYS,
         read_logged_attempts(folder),
         read_configurations(folder),
+        injector.evacuations,
     )
     write_evidence(folder, evidence)
     violations = check(evidence, timed=timed) + find_tracebacks(folder)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,8 @@
 from comfreyarch_core.retryshare import RetryLimits
 from soak.callers import RETRYABLE_STATUSES, AttemptRecord
 from soak.faultinjection import (
+    EVACUATION_S,
+    Evacuated,
     Fault,
     PublishedConfiguration,
     affects_entry,
@@ -64,6 +66,7 @@
     :param logged_attempts: ids of the attempts in the entries' logs.
     :param in_force: time and version of each configuration that came into
         force, by entry, from the logs.
+    :param evacuations: evacuations of zones.
     """
 
     records: list[AttemptRecord]
@@ -73,6 +76,7 @@
     teams: dict[str, str]
     logged_attempts: set[str]
     in_force: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    evacuations: list[Evacuated] = field(default_factory=list)
 
     def is_unaffected(self, entry: str, start: float, end: float) -> bool:
         """Check that no fault affected an entry or the store in an interval.
@@ -154,6 +158,7 @@
         outdated_configuration,
         late_configurations,
         sent_to_draining,
+        sent_to_evacuated,
         sent_after_announcement,
         sent_within_hold,
         over_limit,
@@ -416,6 +421,35 @@
     return violations
 
 
+def sent_to_evacuated(evidence: Evidence) -> list[str]:
+    """Find requests that arrived in a zone too long after its evacuation.
+
+    Arrivals that a server rejected count, too.
+    """
+    sent = {record.attempt: record for record in evidence.records}
+    violations = []
+    for run in evidence.runs:
+        attempt = run.get('attempt') or run.get('rejected') or run.get('held')
+        record = sent.get(attempt or '')
+        if record is None:
+            continue
+        arrived = run.get('arrived', run['at'])
+        for evacuated in evidence.evacuations:
+            if (
+                run.get('zone') == evacuated.zone
+                and evacuated.at + EVACUATION_S < arrived < evacuated.until
+                and evidence.is_unaffected(
+                    record.entry, evacuated.at - CONTACT_RECOVERY_S, arrived
+                )
+            ):
+                late_s = arrived - evacuated.at
+                violations.append(
+                    f'{attempt} arrived in {evacuated.zone} {late_s:.2f} s after '
+                    'the evacuation began'
+                )
+    return violations
+
+
 def sent_after_announcement(evidence: Evidence) -> list[str]:
     """Find requests to a server whose answer had announced that it leaves.
 
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -10,12 +10,27 @@
 import gevent
 
 from soak.callers import HOST, CallerPool
-from soak.fleet import GRACE_PERIOD_S, STORE_LINK, Fleet
+from soak.fleet import (
+    BOUNDS,
+    GRACE_PERIOD_S,
+    STORE_LINK,
+    ZONES,
+    Fleet,
+)
 from soak.server import CRASHING_PART
 
 # Faults that are planned work; all others are disruptions.
 PLANNED_WORK = frozenset(
-    ('stop', 'hup', 'settings', 'configure', 'storm', 'drain', 'roll')
+    (
+        'stop',
+        'hup',
+        'settings',
+        'configure',
+        'storm',
+        'drain',
+        'roll',
+        'evacuate',
+    )
 )
 # Faults that end or suspend a process.
 LIFE_FAULTS = frozenset(('stop', 'roll', 'kill', 'kill-many', 'pause'))
@@ -25,6 +40,8 @@
 ANSWER_FAULTS = ('errors', 'lost', 'hang', 'rubbish', 'cut', 'extra')
 STORE_FAULTS = ('busy', 'silent', 'slow', 'lost', 'late', 'forget')
 LINK_MODES = ('silent', 'deaf', 'mute', 'delay', 'refuse')
+# Time from the request to evacuate a zone until no request may arrive there.
+EVACUATION_S = BOUNDS['evacuationMs'] / 1000
 # Callers send requests with a crashing part at least for this time.
 CRASHING_PART_S = 8.0
 # Servers announce a limit for a multiple of a fault's time, as it is checked only
@@ -62,11 +79,26 @@
     version: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuated:
+    """Hold the evacuation of a zone; times are Unix times.
+
+    :param at: time at which the store acknowledged the request.
+    :param until: time before its withdrawal was sent.
+    """
+
+    zone: str
+    at: float
+    until: float
+
+
 class FaultInjector:
     """Inject faults and record them.
 
     :param faults: all faults so far.
     :param published: all configurations so far.
+    :param evacuations: all evacuations that have ended.
+    :param evacuated: zones that are evacuated now.
     :param version: version of the latest configuration.
     """
 
@@ -77,6 +109,8 @@
         self.rng = random.Random(seed)
         self.faults: list[Fault] = []
         self.published: list[PublishedConfiguration] = []
+        self.evacuations: list[Evacuated] = []
+        self.evacuated: set[str] = set()
         self.version = 0
         self.last_configuration: dict[str, Any] | None = None
         self.running: list[gevent.Greenlet] = []
@@ -94,6 +128,7 @@
             'configure': self.publish_configuration,
             'drain': self.drain_plain_server,
             'roll': self.roll_entries,
+            'evacuate': self.evacuate_zone,
             'kill': self.kill_node,
             'kill-many': self.kill_all_nodes,
             'pause': self.pause_node,
@@ -218,6 +253,20 @@
         self.fleet.start_plain_server()
         program.signal_process(signal.SIGTERM)
 
+    def evacuate_zone(self, duration_s: float) -> None:
+        """Evacuate a zone until some time after no request may arrive there."""
+        zone = self.rng.choice(ZONES)
+        if zone in self.evacuated:
+            return
+        self.evacuated.add(zone)
+        at = self.fleet.write_row('op', f'evacuate/{zone}', {})
+        lasting_s = EVACUATION_S + duration_s
+        self.record_fault('evacuate', zone, lasting_s)
+        gevent.sleep(lasting_s)
+        self.evacuated.remove(zone)
+        self.evacuations.append(Evacuated(zone, at, time.time()))
+        self.fleet.write_row('op', f'evacuate/{zone}', None)
+
     def kill_node(self, _duration_s: float) -> None:
         """Kill an entry or a sidecar without warning."""
         self.kill_program(self.choose_node(), 'kill')
@@ -329,8 +378,8 @@
     def restore_store(self, duration_s: float) -> None:
         """Make the store unreachable, then return from an older copy.
 
-        The operator writes the last configuration again, servers do so by
-        themselves, and changes follow.
+        The operator writes the last configuration and the requests to evacuate
+        zones again, servers do so by themselves, and changes follow.
         """
         self.record_fault('store-restored', 'store', duration_s)
         self.fleet.set_store_fault('busy')
@@ -339,6 +388,9 @@
         self.fleet.set_store_fault('')
         if self.last_configuration is not None:
             self.fleet.write_row('op', 'config', self.last_configuration)
+        for zone in ZONES:
+            row: dict[str, Any] | None = {} if zone in self.evacuated else None
+            self.fleet.write_row('op', f'evacuate/{zone}', row)
         self.publish_storm(2 * MAX_FAULT_S)
 
     def send_crashing_part(self, duration_s: float) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -38,6 +38,7 @@
     'retryBudgetRatio': 0.2,
     'retryWindowS': 10,
     'retryAllowance': 184,
+    'evacuationMs': 5000,
 }
 
 
@@ -323,9 +324,12 @@
             settings['servers'], settings['group']
         )
 
-    def write_row(self, table: str, key: str, row: dict[str, Any]) -> float:
+    def write_row(
+        self, table: str, key: str, row: dict[str, Any] | None
+    ) -> float:
         """Write a row to the store with the rights of the operator.
 
+        :param row: its content, None to remove it.
         :returns: the Unix time of the acknowledgement.
         """
         body = json.dumps({'table': table, 'key': key, 'row': row})
--- a/soak/server.py
+++ b/soak/server.py
@@ -145,6 +145,7 @@
         line = {
             'server': self.name,
             'service': self.row['service'],
+            'zone': self.row['zone'],
             'at': time.time(),
             **facts,
         }
