--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 from types import SimpleNamespace
 
+import entry_fleet
 import gevent
 import pytest
 from direct_world import RecordingLog, World, answering
@@ -469,3 +470,24 @@
         frozen[0] = False
         assert call.get(timeout=20)[0] == 200
         assert [len(upstream.seen) for upstream in world.upstreams] == [0, 1]
+
+
+# Fails if a deployment without the rule waits after a freeze, or one with it does
+# not.
+@pytest.mark.parametrize('evacuation_s', [0, 5])
+def test_only_the_rule_makes_sends_wait_after_a_freeze(
+    evacuation_s, tmp_path, monkeypatch
+):
+    make_settings = entry_fleet.make_settings
+    monkeypatch.setattr(
+        entry_fleet,
+        'make_settings',
+        lambda name: replace(make_settings(name), evacuation_s=evacuation_s),
+    )
+    with entry_fleet.EntryFleet(1, answering(), path=tmp_path / 'x') as fleet:
+        (node,) = fleet.nodes.values()
+        evacuations = node.entry.dispatcher.selector.evacuations
+        now = boot_time()
+        resumed_at = now + MAX_CONFIRMED_AGE_S + 60
+        assert not evacuations.is_outdated(now)
+        assert evacuations.is_outdated(resumed_at) == bool(evacuation_s)
