Plan a map when the predicted pass of a large group is too long

The gate waited until the smoothed pass time crossed 0.65 of the longest pause, which took 1.6 to 1.9 s after a shift of demand. The pass is now predicted from the skew of the last counts, and a plan is dropped unless it saves more than its copies take. Groups under 32 ranks keep the gate on measured passes.

--- a/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
@@ -1,7 +1,9 @@
 """Detect whether a group's load is so high that faster steps help callers.
 
 Copying experts slows the group and loads its links. While streams stay within
-their latency limit and slots are free, a better map benefits no caller.
+their latency limit and slots are free, a better map benefits no caller. The
+passes of a large group are predicted from its skew, because measured passes
+follow a shift of demand more than a second late.
 """
 
 from dataclasses import dataclass, field
@@ -12,8 +14,32 @@
 # Share of the longest stream gap allowed above which a pass is too slow. The
 # pass after a long prompt takes 1.5 times as long.
 HIGH_PASS_SHARE = 0.65
+# The same for a large group at a high skew, where a pass that reads a long
+# prompt in each step takes twice as long.
+SKEWED_PASS_SHARE = 0.5
+HIGH_SKEW = 2.0
 # Share of slots in use above which requests start to queue.
 HIGH_SLOT_SHARE = 0.7
+# Number of ranks from which passes are predicted from the skew. In a smaller
+# group the copies cost more than they gain.
+MIN_RANKS_TO_PREDICT = 32
+# Share of slots in use below which a large group counts as idle.
+IDLE_SLOT_SHARE = 0.05
+# Share of a pass that grows with the load of the most loaded rank.
+EXPERT_SHARE = 0.85
+# Growth of a pass from no request per rank to all slots in use. Engines of the
+# known deployments grow by 0.45 and 1.2; the lower one gives fewer maps.
+FULL_LOAD_GROWTH = 0.45
+# Weight of the newest sample of the pass time at even load. Counts and pass
+# times lag differently behind a shift, which the average evens out.
+EVEN_PASS_SMOOTHING = 0.1
+# Time for which a map serves: demand shifts every 2 to 4 s, and the change
+# itself takes half a second.
+MAP_LIFETIME_S = 1.5
+# Share by which passes are longer while experts are copied.
+COPY_SLOWDOWN = 0.15
+# Time in which a rank copies one expert: 370 MB at 180 Gbit/s.
+EXPERT_COPY_S = 0.0165
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,11 +60,14 @@
     """Monitor a group's pass time and slots in use.
 
     :param requests_by_rank: running and waiting requests of each rank.
+    :param even_pass_s: smoothed pass time as it would be with the load spread
+        evenly, 0 before the first sample.
     """
 
     limits: ServiceLimits
     timer: PassTimer = field(default_factory=make_pass_timer)
     requests_by_rank: dict[int, int] = field(default_factory=dict)
+    even_pass_s: float = 0
 
     def handle(self, state: EngineState, is_own_rank: bool, now: float) -> None:
         """Record a rank's state.
@@ -58,19 +87,71 @@
         """
         return self.timer.pass_s
 
-    def is_high(self, size: int) -> bool:
+    def used_slot_share(self, size: int) -> float:
+        """Return the running and waiting requests as a share of all slots."""
+        slots = size * self.limits.slots
+        return sum(self.requests_by_rank.values()) / slots if slots else 0
+
+    def handle_skew(self, skew: float) -> None:
+        """Record the skew of the map in use, to learn the even pass time."""
+        if not self.pass_s:
+            return
+        sample_s = self.pass_s / work_factor(skew)
+        if not self.even_pass_s:
+            self.even_pass_s = sample_s
+        self.even_pass_s += EVEN_PASS_SMOOTHING * (sample_s - self.even_pass_s)
+
+    def predict_pass(self, skew: float, size: int) -> float:
+        """Predict the pass time with all slots in use.
+
+        :param skew: peak over mean load of the map in use.
+        :returns: seconds, 0 before the first pass.
+        """
+        current_s = max(self.pass_s, self.even_pass_s * work_factor(skew))
+        used = min(1, self.used_slot_share(size))
+        growth = (1 + FULL_LOAD_GROWTH) / (1 + FULL_LOAD_GROWTH * used)
+        return current_s * growth
+
+    def is_high(self, size: int, skew: float = 1) -> bool:
         """Check whether faster steps would help callers.
 
         :param size: number of ranks in the group.
-        :returns: True if passes are near the longest gap allowed or few slots
-            are free.
+        :param skew: peak over mean load of the map in use.
+        :returns: True if passes are, or are about to be, near the longest gap
+            allowed, or if few slots are free.
         """
-        allowed_s = HIGH_PASS_SHARE * self.limits.max_gap_s
-        is_slow = allowed_s > 0 and self.pass_s > allowed_s
-        used_slots = sum(self.requests_by_rank.values())
-        return (
-            is_slow or used_slots > HIGH_SLOT_SHARE * size * self.limits.slots
-        )
+        used = self.used_slot_share(size)
+        if used > HIGH_SLOT_SHARE:
+            return True
+        pass_s = self.pass_s
+        share = HIGH_PASS_SHARE
+        if size >= MIN_RANKS_TO_PREDICT:
+            if used < IDLE_SLOT_SHARE:
+                return False
+            pass_s = self.predict_pass(skew, size)
+            share = SKEWED_PASS_SHARE if skew >= HIGH_SKEW else share
+        allowed_s = share * self.limits.max_gap_s
+        return 0 < allowed_s < pass_s
+
+
+def work_factor(skew: float) -> float:
+    """Return the pass time at a skew, relative to an even load."""
+    return 1 - EXPERT_SHARE + EXPERT_SHARE * skew
+
+
+def is_map_worthwhile(before: float, after: float, copies: int) -> bool:
+    """Weigh the time that a map saves against that of its copies.
+
+    All streams of a group share its passes, so their number cancels out.
+
+    :param before: skew of the map in use.
+    :param after: skew of the planned map.
+    :param copies: most experts that one rank copies.
+    :returns: True if the shorter passes save more than the copies take.
+    """
+    saved_share = 1 - work_factor(after) / work_factor(before)
+    cost_s = COPY_SLOWDOWN * EXPERT_COPY_S * copies
+    return saved_share * MAP_LIFETIME_S > cost_s
 
 
 def make_pressure_monitor(limits: ServiceLimits) -> PressureMonitor:
--- a/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/mapplan.py
@@ -6,8 +6,10 @@
 handles messages in between.
 """
 
+from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
+from itertools import chain
 
 from comfreyarch_core.enginestate import GroupMap
 from comfreyarch_core.setplanner import MapLimits, make_set_planner
@@ -36,11 +38,13 @@
     :param before: peak rank time over mean load of the current map, averaged
         over sets.
     :param after: the same for the planned map.
+    :param copies: most experts that one rank copies, over all sets.
     """
 
     content: GroupMap
     before: float
     after: float
+    copies: int = 0
 
 
 def do_nothing() -> None:
@@ -118,6 +122,41 @@
     return [sorted(experts) for experts in planner.held]
 
 
+def measure_skew(
+    content: GroupMap,
+    loads: Sequence[Sequence[float]],
+    slowness: Sequence[float],
+) -> float:
+    """Measure the skew of a map under the given loads.
+
+    :param loads: how often each expert was recently chosen, by set.
+    :param slowness: factor by rank, 1 for a healthy rank.
+    :returns: peak rank time over mean load, averaged over sets.
+    """
+    skews = []
+    for placement, chosen in zip(content, loads, strict=True):
+        holders = Counter(chain.from_iterable(placement))
+        peak = max(
+            slow * sum(chosen[expert] / holders[expert] for expert in held)
+            for held, slow in zip(placement, slowness, strict=True)
+        )
+        mean = sum(chosen) / len(placement)
+        skews.append(peak / mean if mean > 0 else 1)
+    return sum(skews) / len(skews)
+
+
+def count_most_copies(before: GroupMap, after: GroupMap) -> int:
+    """Count the experts that the busiest rank copies for a map.
+
+    :returns: the largest number over all ranks, summed over sets.
+    """
+    copies = [0] * len(before[0])
+    for old_ranks, new_ranks in zip(before, after, strict=True):
+        for rank, old in enumerate(old_ranks):
+            copies[rank] += len(set(new_ranks[rank]) - set(old))
+    return max(copies)
+
+
 def is_within_copy_limit(
     before: Sequence[Sequence[int]],
     after: Sequence[Sequence[int]],
@@ -162,4 +201,5 @@
     new_content = tuple(
         tuple(tuple(held) for held in ranks) for ranks, _, _ in planned
     )
-    return PlannedMap(new_content, before, after)
+    copies = count_most_copies(content, new_content)
+    return PlannedMap(new_content, before, after, copies)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -10,7 +10,10 @@
     EngineState,
     GroupMap,
 )
-from comfreyarch_core.grouppressure import make_pressure_monitor
+from comfreyarch_core.grouppressure import (
+    is_map_worthwhile,
+    make_pressure_monitor,
+)
 from comfreyarch_core.groupstate import are_at_rest, are_switching
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
 from comfreyarch_core.mapcontrolmessages import (
@@ -27,7 +30,7 @@
     Settled,
     Tick,
 )
-from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.mapplan import PlannedMap, measure_skew, plan_map
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
@@ -301,8 +304,7 @@
             return
         if self.control.is_quiescent() and self.is_engine_usable:
             self.unsettled_since = 0
-            if self.pressure.is_high(self.control.size):
-                self.plan_change(content)
+            self.plan_change(content)
         elif self.is_unsettled():
             self.control.content = content
             recover = Recover(content, self.absent_leader())
@@ -375,16 +377,24 @@
             )
 
     def plan_change(self, content: GroupMap) -> None:
-        """Plan one change and start it if it reduces the skew enough."""
+        """Plan one change and start it if callers gain from it."""
         loads = self.reports.sum_loads(len(content))
         if loads is None:
             return
         states = self.control.states
         slowness = [states[rank].pace for rank in sorted(states)]
+        skew = measure_skew(content, loads, slowness)
+        self.pressure.handle_skew(skew)
+        if not self.pressure.is_high(self.control.size, skew):
+            return
         planned = plan_map(
             content, loads, self.limits, slowness, pause_planning
         )
-        if planned is None or not self.is_still_leader():
+        if planned is None or not is_map_worthwhile(
+            planned.before, planned.after, planned.copies
+        ):
+            return
+        if not self.is_still_leader():
             return
         self.planned = planned
         self.control.content = content
@@ -395,6 +405,10 @@
             skew=round(planned.before, 2),
             skew_planned=round(planned.after, 2),
             pass_s=round(self.pressure.pass_s, 3),
+            predicted_pass_s=round(
+                self.pressure.predict_pass(planned.before, self.control.size), 3
+            ),
+            copies=planned.copies,
             slowest=max(slowness),
         )
         change = ChangeMap(
