--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -1,7 +1,7 @@
 """Lead the changes of a rank group's expert map from one of its sidecars."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 
@@ -10,7 +10,10 @@
     EngineState,
     GroupMap,
 )
-from comfreyarch_core.grouppressure import make_pressure_monitor
+from comfreyarch_core.grouppressure import (
+    is_map_worthwhile,
+    make_pressure_monitor,
+)
 from comfreyarch_core.groupstate import are_at_rest, are_switching
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
 from comfreyarch_core.mapcontrolmessages import (
@@ -27,7 +30,8 @@
     Settled,
     Tick,
 )
-from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.mapplan import PlannedMap, measure_skew, plan_map
+from comfreyarch_core.planschedule import make_plan_schedule
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
@@ -41,8 +45,6 @@
 
 TICK_INTERVAL_S = 0.02
 IDLE_TICK_INTERVAL_S = 0.1
-# Interval between two plans.
-PLAN_INTERVAL_S = 0.3
 # A leader that was paused for longer than this may have been replaced.
 MAX_PAUSE_S = 0.45
 # Time for which a group must look unsettled before a recovery starts. The
@@ -73,6 +75,7 @@
     :param is_engine_usable: whether the local engine's group is open and not
         stalled.
     :param planned: the plan of the last change.
+    :param schedule: decides when a map is planned.
     :param unsettled_since: time since which the group has been unsettled, 0 if
         it is settled.
     """
@@ -94,6 +97,7 @@
         'planned',
         'pressure',
         'reports',
+        'schedule',
         'unsettled_since',
         'workers',
     )
@@ -125,6 +129,9 @@
         self.log = log
         self.metrics = metrics
         self.reports = GroupReports(own_state.size, rules.limits.experts)
+        self.schedule = make_plan_schedule(
+            own_state.size, rules.limits.experts, boot_time()
+        )
         self.delivery = OrderDelivery(
             self.control,
             self.reports,
@@ -226,6 +233,13 @@
         reported = Reported(report.state, report.number)
         self.apply_outcomes(self.control.handle(reported, now))
 
+    def handle_counts(self, counts: ExpertCounts) -> None:
+        """Process a rank's expert counts."""
+        if counts.group != self.group:
+            return
+        self.reports.handle_counts(counts)
+        self.schedule.handle(counts.rank, counts.counts, boot_time())
+
     def apply_outcomes(self, outcomes: list[Outcome]) -> None:
         """Apply the outcomes of the map control."""
         sends = [outcome for outcome in outcomes if isinstance(outcome, Send)]
@@ -282,9 +296,24 @@
     def run_planning(self) -> None:
         """Plan and start changes until the term is over."""
         while self.check_awake():
-            gevent.sleep(PLAN_INTERVAL_S)
-            if self.check_awake() and self.control.phase == Phase.idle:
-                self.start_due_change()
+            gevent.sleep(self.schedule.check_interval_s)
+            if self.check_awake():
+                self.check_demand()
+
+    def check_demand(self) -> None:
+        """Look for a shift of demand, and start a change if one is due."""
+        now = boot_time()
+        phase = self.control.phase
+        if self.schedule.detect_shift(now):
+            self.metrics.count('demand_shifts')
+            self.log.write(
+                'demand_shifted',
+                group=self.group,
+                fence=self.fence,
+                phase=phase.name,
+            )
+        if phase == Phase.idle and self.schedule.is_due(now):
+            self.start_due_change()
 
     def start_due_change(self) -> None:
         """Start a recovery if needed, otherwise a change if it helps.
@@ -301,8 +330,7 @@
             return
         if self.control.is_quiescent() and self.is_engine_usable:
             self.unsettled_since = 0
-            if self.pressure.is_high(self.control.size):
-                self.plan_change(content)
+            self.plan_change(content)
         elif self.is_unsettled():
             self.control.content = content
             recover = Recover(content, self.absent_leader())
@@ -375,18 +403,33 @@
             )
 
     def plan_change(self, content: GroupMap) -> None:
-        """Plan one change and start it if it reduces the skew enough."""
-        loads = self.reports.sum_loads(len(content))
-        if loads is None:
+        """Plan one change and start it if callers gain from it."""
+        demand = self.schedule.demand
+        loads: Sequence[Sequence[float]] | None = (
+            self.reports.sum_loads(len(content))
+            if demand is None
+            else demand.sum_loads(boot_time())
+        )
+        if loads is None or len(loads) != len(content):
             return
+        self.schedule.expect(loads, planned=False)
         states = self.control.states
         slowness = [states[rank].pace for rank in sorted(states)]
+        skew = measure_skew(content, loads, slowness)
+        self.pressure.handle_skew(skew)
+        if not self.pressure.is_high(self.control.size, skew):
+            return
         planned = plan_map(
             content, loads, self.limits, slowness, pause_planning
         )
-        if planned is None or not self.is_still_leader():
+        if planned is None or not is_map_worthwhile(
+            planned.before, planned.after, planned.copies
+        ):
+            return
+        if not self.is_still_leader():
             return
         self.planned = planned
+        self.schedule.expect(loads, planned=True)
         self.control.content = content
         self.log.write(
             'map_planned',
@@ -395,6 +438,10 @@
             skew=round(planned.before, 2),
             skew_planned=round(planned.after, 2),
             pass_s=round(self.pressure.pass_s, 3),
+            predicted_pass_s=round(
+                self.pressure.predict_pass(planned.before, self.control.size), 3
+            ),
+            copies=planned.copies,
             slowest=max(slowness),
         )
         change = ChangeMap(
