Announce a new leader to all ranks at once

Cause: a new leader announced itself only to ranks that it had heard of. The others learned of it when they claimed leadership themselves, rank by rank, and a rank whose single contact was lost claimed the place of a living leader.

Change: a leader looks up the addresses at the start of its term, in place of the later lookup, and answers a state from a new address at once. Followers send their state to a new leader at their next reading.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/orderchannel.py
@@ -156,6 +156,12 @@
             ):
                 self.datagrams.send_encoded(LEAD, encoded, address)
 
+    def announce_to(
+        self, announcement: LeaderAnnouncement, address: str
+    ) -> None:
+        """Announce this sidecar as the leader to one sidecar."""
+        self.datagrams.send(encode_announcement(announcement), address)
+
     def handle_relayed_order(self, message: list[Any], _address: str) -> None:
         """Forward an order to its other targets, and process the own one."""
         *head, targets = message
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerlookup.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerlookup.py
@@ -12,14 +12,18 @@
 # Interval of lookups in the table of sidecars, and of retries while the store
 # is unavailable.
 PEER_LOOKUP_INTERVAL_S = 3.0
-# Maximum number of successful lookups. They end early once the addresses of all
-# ranks are known.
+# Maximum number of successful lookups apart from those of a later term. They end
+# early once the addresses of all ranks are known.
 MAX_PEER_LOOKUPS = 2
 # Interval at which a sidecar writes its row again: the store may have lost it, and
 # rows of a few minutes of age count as those of stopped nodes.
 REGISTER_INTERVAL_S = 60.0
 # Interval at which a starting sidecar checks for the engine's first state.
-ENGINE_CHECK_INTERVAL_S = 0.5
+ENGINE_CHECK_INTERVAL_S = 0.1
+# Lookups at the start of a term, and their interval: sidecars that start at the
+# same time may not have written their rows at the first.
+TERM_LOOKUPS = 2
+TERM_LOOKUP_INTERVAL_S = 0.5
 
 
 class PeerLookup:
@@ -30,9 +34,17 @@
         shared with the owner.
     :param read_state: returns the last state of the local engine, None before
         the first.
+    :param lookups: number of successful lookups so far.
     """
 
-    __slots__ = ('addresses', 'directory', 'log', 'own_address', 'read_state')
+    __slots__ = (
+        'addresses',
+        'directory',
+        'log',
+        'lookups',
+        'own_address',
+        'read_state',
+    )
 
     def __init__(
         self,
@@ -48,6 +60,7 @@
         self.addresses = addresses
         self.read_state = read_state
         self.log = log
+        self.lookups = 0
 
     def run(self) -> None:
         """Register this sidecar, and look up the others of its group.
@@ -57,9 +70,9 @@
         """
         own_state = self.wait_for_engine()
         self.retry_until_available(self.register, own_state)
-        for _ in range(MAX_PEER_LOOKUPS):
+        while self.lookups < MAX_PEER_LOOKUPS:
             gevent.sleep(PEER_LOOKUP_INTERVAL_S)
-            if len(self.addresses) == own_state.size:
+            if len(self.addresses) >= own_state.size:
                 break
             self.retry_until_available(self.look_up_addresses, own_state)
         self.log.write('peers_listed', peers=len(self.addresses))
@@ -67,6 +80,29 @@
             gevent.sleep(REGISTER_INTERVAL_S)
             self.retry_until_available(self.register, self.wait_for_engine())
 
+    def look_up_for_term(
+        self, own_state: EngineState, on_found: Callable[[], None]
+    ) -> None:
+        """Look up the group's sidecars for a leader that begins its term.
+
+        Only a leader that knows the addresses of all ranks can announce itself
+        to them.
+
+        :param on_found: called after a lookup that found further addresses.
+        """
+        for attempt in range(TERM_LOOKUPS):
+            if attempt:
+                gevent.sleep(TERM_LOOKUP_INTERVAL_S)
+            known = len(self.addresses)
+            if known >= own_state.size:
+                return
+            try:
+                self.look_up_addresses(own_state)
+            except StoreCallFailed as error:
+                self.log.write('peers_unknown', why=str(error))
+            if len(self.addresses) > known:
+                on_found()
+
     def register(self, own_state: EngineState) -> None:
         """Write this sidecar's address to the table of sidecars.
 
@@ -108,6 +144,7 @@
         :raises StoreCallFailed: if the table cannot be read.
         """
         members = self.directory.members()
+        self.lookups += 1
         for rank in range(own_state.size):
             address = members.get(f'{own_state.group}/{rank}')
             if address is not None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -247,12 +247,18 @@
     def handle_state(self, message: list[Any], address: str) -> None:
         """Process the state of another rank of this group."""
         report = decode_state(message)
-        own_state = self.agent.state
-        if own_state is None or report.state.group != own_state.group:
+        # A leader whose engine does not answer now still leads its group.
+        known = self.leader or self.agent.state
+        if known is None or report.state.group != known.group:
             return
+        is_new = self.addresses.get(report.state.rank) != address
         self.addresses[report.state.rank] = address
         self.peer_states[report.state.rank] = report
         if self.leader is not None:
+            if is_new and not self.leader.must_resign:
+                # The sender may be about to claim leadership.
+                announcement = make_announcement(self, self.leader)
+                self.orders.announce_to(announcement, address)
             self.leader.handle_state(report)
 
     def handle_counts(self, message: list[Any], _address: str) -> None:
@@ -299,6 +305,10 @@
             return
         if fence > self.leader_view.fence:
             self.log.write('leader', fence=fence, address=address)
+            # The new leader needs the state of each rank to plan.
+            self.leader_view.last_sent = None
+        self.leader_view.contacted = None
+        self.leader_view.has_sought_leader = True
         self.leader_view.fence = fence
         self.agent.fence = max(self.agent.fence, fence)
         self.leader_view.address = address
@@ -312,17 +322,23 @@
         """Announce this sidecar's term, or claim leadership after a timeout."""
         while True:
             gevent.sleep(ANNOUNCE_INTERVAL_S)
-            own_state = self.agent.state
             if self.leader is not None and self.leader.must_resign:
                 self.resign(self.leader)
-            if self.leader is not None:
+            if self.leader is None:
+                self.seek_leader(self.agent.state, boot_time())
+            else:
                 announce_leader(self, self.leader)
-            elif (
-                own_state is not None
-                and own_state.size > 1
-                and self.leader_view.is_claim_due(own_state.rank, boot_time())
-            ):
-                self.claim_leadership(own_state)
+
+    def seek_leader(self, own_state: EngineState | None, now: float) -> None:
+        """Contact a leader, or claim leadership, as far as that is due."""
+        if own_state is None:
+            self.leader_view.wait_for_engine(now)
+        elif self.leader_view.is_contact_due(now):
+            self.contact_leader(own_state)
+        elif own_state.size > 1 and self.leader_view.is_claim_due(
+            own_state.rank, now
+        ):
+            self.claim_leadership(own_state)
 
     def resign(self, leader: MapLeader) -> None:
         """Stop leading, so that another rank can complete the recovery."""
@@ -334,25 +350,38 @@
     def contact_unseen_leader(
         self, former: LeaderRow, own_state: EngineState
     ) -> bool:
-        """Send the state once to a leader from which nothing was received.
+        """Begin to contact a leader from which nothing was received.
 
-        Such a leader may be alive without knowing this rank's address.
+        Such a leader may be alive without knowing this rank's address. One at
+        this sidecar's own address is its predecessor, which does not live.
 
         :returns: True if the state was sent, so that this rank should wait for
             that leader's announcement before it claims leadership.
         """
         is_known = (
-            former.fence <= self.leader_view.fence
+            former.address == self.settings.peers
+            or former.fence <= self.leader_view.fence
             or former.fence in self.leader_view.contacted_fences
         )
         if is_known or not former.address:
             return False
-        self.leader_view.contacted_fences.add(former.fence)
-        number = int(boot_time() * READINGS_PER_S)
-        report = StateReport(self.settings.engine, own_state, number)
-        self.datagrams.send(encode_state(report), former.address)
+        self.leader_view.begin_contact(former)
+        self.contact_leader(own_state)
         return True
 
+    def contact_leader(self, own_state: EngineState) -> None:
+        """Send the state to the leader whose answer is awaited."""
+        leader = self.leader_view.contacted
+        if leader is None:
+            return
+        now = boot_time()
+        self.leader_view.contacts += 1
+        self.leader_view.contacted_at = now
+        report = StateReport(
+            self.settings.engine, own_state, int(now * READINGS_PER_S)
+        )
+        self.datagrams.send(encode_state(report), leader.address)
+
     def try_claim(
         self, former: LeaderRow, own_state: EngineState
     ) -> int | None:
@@ -377,6 +406,8 @@
     def claim_leadership(self, own_state: EngineState) -> None:
         """Try to become the leader, and start leading on success."""
         self.leader_view.leader_seen_at = boot_time()
+        self.leader_view.contacted = None
+        self.leader_view.has_sought_leader = True
         try:
             rules = self.rules.current()
             if rules is None:
@@ -416,12 +447,28 @@
         self.leader.start()
         self.leader_view.announcements = 0
         announce_leader(self, self.leader)
+        gevent.spawn(
+            self.peer_lookup.look_up_for_term, own_state, self.announce_again
+        )
+
+    def announce_again(self) -> None:
+        """Announce a term that has begun to ranks that were looked up."""
+        if self.leader is not None:
+            self.leader_view.announcements = 0
+            announce_leader(self, self.leader)
+
+
+def make_announcement(node: RankNode, leader: MapLeader) -> LeaderAnnouncement:
+    """Create the announcement of a term.
+
+    :returns: the message to the other sidecars.
+    """
+    return LeaderAnnouncement(leader.group, leader.fence, node.settings.node)
 
 
 def announce_leader(node: RankNode, leader: MapLeader) -> None:
     """Announce the leader to the sidecars that are due for it."""
-    announcement = LeaderAnnouncement(
-        leader.group, leader.fence, node.settings.node
+    node.orders.announce(
+        make_announcement(node, leader), node.leader_view.announcements
     )
-    node.orders.announce(announcement, node.leader_view.announcements)
     node.leader_view.announcements += 1
--- /dev/null
+++ b/tests/group_world.py
@@ -0,0 +1,265 @@
+"""Run the sidecars of a rank group on a virtual clock, without network.
+
+Sidecars, their claims, announcements and lookups are the product's; engines,
+store and links are small fakes.
+"""
+
+from pathlib import Path
+
+import cbor2
+from direct_world import RecordingLog
+from virtual_time import VirtualClock
+
+from comfreyarch_core.enginestate import EngineState
+from comfreyarch_core.grouppressure import ServiceLimits
+from comfreyarch_core.setplanner import MapLimits
+from comfreyarch_daemon import (
+    mapleader,
+    maprules,
+    orderdelivery,
+    peerlookup,
+    rankagent,
+    ranknode,
+)
+from comfreyarch_daemon.engineapi import (
+    ChosenExperts,
+    EngineUnavailable,
+    HeldExperts,
+)
+from comfreyarch_daemon.leadership import LeaderRow, MapRules, Term
+from comfreyarch_daemon.ranknode import RankNode
+from comfreyarch_daemon.ranksettings import RankAdapter, RankSettings
+
+LATENCY_S = 0.0014
+STORE_S = 0.004
+MODULES = (mapleader, maprules, orderdelivery, peerlookup, rankagent, ranknode)
+
+
+class GroupWorld:
+    """Hold the sidecars of one group and what they share.
+
+    :param lost_share: share of datagrams that get lost, by tag.
+    :param store_calls: number of calls, by kind.
+    """
+
+    def __init__(self, size, monkeypatch, former=''):
+        self.clock = VirtualClock()
+        self.size = size
+        self.epoch = 2
+        self.is_open = True
+        self.step = 10
+        self.pass_s = 0.08
+        self.lose = lambda tag, sender, receiver: False
+        self.store_calls = {'row': 0, 'claim': 0, 'join': 0, 'members': 0}
+        self.rows = {}
+        self.row = LeaderRow(7, (Term(former, 1),)) if former else LeaderRow(0)
+        for module in MODULES:
+            monkeypatch.setattr(
+                module, 'boot_time', self.clock.boot_time, False
+            )
+            monkeypatch.setattr(module, 'gevent', self.clock, False)
+        monkeypatch.setattr(
+            ranknode, 'Datagrams', lambda address, *_: FakeLink(self, address)
+        )
+        monkeypatch.setattr(
+            ranknode, 'EventLog', lambda _node: TimedLog(self.clock)
+        )
+        self.nodes = {}
+
+    def start_all(self):
+        """Start the sidecars of all ranks."""
+        for rank in range(self.size):
+            self.start(rank)
+
+    def start(self, rank):
+        """Start the sidecar of a rank."""
+        settings = RankSettings(
+            str(rank),
+            address_of(rank),
+            '127.0.0.1:0',
+            str(rank),
+            's',
+            '127.0.0.1:9',
+            375_000,
+        )
+        rules = MapRules(MapLimits(2 * self.size, 3, 2), ServiceLimits(5, 0.12))
+        node = RankNode(
+            RankAdapter(
+                read_settings=lambda _path: settings,
+                open_engine=lambda address: FakeEngine(self, int(address)),
+                open_leadership=lambda _settings: self,
+                open_peers=lambda _settings: self,
+                read_map_rules=lambda _settings: rules,
+            ),
+            Path('unused'),
+        )
+        self.nodes[rank] = node
+        for work in (
+            node.agent.run,
+            node.peer_lookup.run,
+            node.run_leadership,
+        ):
+            self.clock.spawn_for(rank, rank / 1000, work)
+
+    def run(self, seconds):
+        """Run everything for some seconds."""
+        self.clock.run_until(self.clock.now + seconds)
+
+    def call_store(self, kind):
+        """Take the time of a call to the store."""
+        self.store_calls[kind] += 1
+        self.clock.sleep(STORE_S)
+
+    def join(self, node, address):
+        """Write a sidecar's row."""
+        self.call_store('join')
+        self.rows[node] = address
+
+    def members(self):
+        """Read the rows of all sidecars."""
+        self.call_store('members')
+        return dict(self.rows)
+
+    def read(self, _group):
+        """Read the leader's row."""
+        self.call_store('row')
+        return self.row
+
+    def claim(self, _group, term, former):
+        """Replace the leader."""
+        self.call_store('claim')
+        if former.fence != self.row.fence:
+            return None
+        self.row = LeaderRow(self.row.fence + 1, (term, *self.row.terms))
+        return self.row.fence
+
+    def events(self, wanted):
+        """List the events of a name, with their time and rank."""
+        return sorted(
+            (at, rank)
+            for rank, node in self.nodes.items()
+            for at, (name, _) in zip(
+                node.log.times, node.log.events, strict=True
+            )
+            if name == wanted
+        )
+
+    def read_state(self, rank):
+        """Read the state of a rank's engine."""
+        step = self.step + int((self.clock.now - 1000) / self.pass_s)
+        return EngineState(
+            'g',
+            self.epoch,
+            rank,
+            self.size,
+            self.is_open,
+            step,
+            0,
+            None,
+            None,
+            None,
+            0,
+            1,
+            4,
+        )
+
+
+class TimedLog(RecordingLog):
+    """Record events with their times."""
+
+    def __init__(self, clock):
+        super().__init__()
+        self.clock = clock
+        self.times = []
+
+    def write(self, event, **fields):
+        """Record an event."""
+        self.times.append(self.clock.now)
+        super().write(event, **fields)
+
+
+class FakeEngine:
+    """Stand in for a connection to an engine without work to do."""
+
+    def __init__(self, world, rank):
+        self.world = world
+        self.rank = rank
+
+    def state(self):
+        """Read the state."""
+        return self.world.read_state(self.rank)
+
+    def chosen(self):
+        """Read the counts, which grow with time."""
+        chosen = int((self.world.clock.now - 900) * 10)
+        experts = 2 * self.world.size
+        # The experts of the first ranks are in demand.
+        return ChosenExperts(
+            self.world.epoch,
+            tuple(
+                chosen * (10 if expert % self.world.size < 4 else 1)
+                for expert in range(experts)
+            ),
+        )
+
+    def held(self):
+        """Read the experts."""
+        experts = (self.rank, self.rank + self.world.size)
+        return HeldExperts(0, (experts,))
+
+    def order(self, _order, _epoch, _sequence):
+        """Leave every order unanswered."""
+        raise EngineUnavailable('no answer')
+
+    def close(self):
+        """Close nothing."""
+
+
+class FakeLink:
+    """Stand in for a sidecar's datagrams."""
+
+    def __init__(self, world, address):
+        self.world = world
+        self.address = address
+        self.handlers = {}
+        self.sent = 0
+
+    def send(self, message, address):
+        """Send a message."""
+        encoded = cbor2.dumps(message)
+        self.send_encoded(message[0], encoded, address)
+        return len(encoded)
+
+    def send_encoded(self, tag, encoded, address):
+        """Send an encoded message."""
+        self.sent += 1
+        receiver = rank_of(address)
+        if not self.world.lose(tag, rank_of(self.address), receiver):
+            self.world.clock.spawn_for(
+                receiver, LATENCY_S, self.deliver, encoded, receiver
+            )
+
+    def deliver(self, encoded, receiver):
+        """Pass a message to its receiver, if that is up."""
+        node = self.world.nodes.get(receiver)
+        if node is not None:
+            message = cbor2.loads(encoded)
+            node.datagrams.handlers[message[0]](message, self.address)
+
+    def backlog_s(self):
+        """Return that nothing waits."""
+        return 0
+
+    def transfer_s(self, size_bytes):
+        """Return the time in which the link takes a message."""
+        return size_bytes / 300_000
+
+
+def address_of(rank):
+    """Return the address of a rank's sidecar."""
+    return f'10.0.0.{rank}:1'
+
+
+def rank_of(address):
+    """Return the rank of a sidecar's address."""
+    return int(address.split(':')[0].rsplit('.', 1)[1])
