Tell slow passes of a group from a stall

Cause: a group counted as stalled after 0.45 s without a new step. With a rank at 12 times the usual work, passes take 0.42 to 0.56 s, so its upstreams were reported unusable, and the leader recovered the group, whose hold stopped it again.

Change: the time follows the last passes (2.5 times the longest, up to 2 s) and the pace of the slowest rank where that is known. After a hold the group gets the full time for a step. The leader plans at once when a rank becomes slow (pace 3). Entries send such a rank nothing unless more than half of the service's upstreams are slow: the added load of 22 made it the last choice only, which is used once the others are busy.

--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -10,7 +10,7 @@
 
 import math
 import random
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 from comfreyarch_core.announcements import (
@@ -21,6 +21,7 @@
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
+from comfreyarch_core.slowranks import SLOW_PACE
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
 # Half-life of the weight of strays: requests that an upstream reports and no
@@ -55,6 +56,9 @@
 # Load taken off for a limited upstream that may get a request: what it takes and
 # does not get is lost.
 PERMITTED_BONUS = 0.25
+# Share of a service's upstreams that get no request because they are slow. If more
+# are slow, the others lack the slots for their load.
+MAX_UNUSED_SLOW_SHARE = 0.5
 NO_UPSTREAMS: frozenset[str] = frozenset()
 
 
@@ -100,6 +104,14 @@
         health = self.recent_health(now)
         return health is None or health.usable
 
+    def is_slow(self, now: float) -> bool:
+        """Check whether the upstream is far slower than usual.
+
+        :returns: False if there is no recent report.
+        """
+        health = self.recent_health(now)
+        return health is not None and health.pace >= SLOW_PACE
+
     def recent_health(self, now: float) -> EngineHealth | None:
         """Return the sidecar's last health report unless it has expired.
 
@@ -325,6 +337,7 @@
             and self.has_free_slot(view, now)
             and self.pass_time_s(view, now) <= max_pass_s
         ]
+        ready = leave_out_slow(ready, self.services.get(service, ()), now)
         if not ready:
             return None
         self.source.shuffle(ready)
@@ -478,6 +491,23 @@
         return pause_s
 
 
+def leave_out_slow(
+    ready: list[UpstreamView], views: Collection[UpstreamView], now: float
+) -> list[UpstreamView]:
+    """Leave out slow upstreams, which hold back all streams of a group.
+
+    :param ready: upstreams with a free slot.
+    :param views: all upstreams of the service.
+    :returns: the others; all of them if most of the service's upstreams are
+        slow.
+    """
+    usual = [view for view in ready if not view.is_slow(now)]
+    if usual or not ready:
+        return usual
+    slow = sum(view.is_slow(now) for view in views)
+    return ready if slow > MAX_UNUSED_SLOW_SHARE * len(views) else usual
+
+
 def make_upstream_selector(
     availability_zone: str, seed: int
 ) -> UpstreamSelector:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -28,6 +28,7 @@
     Tick,
 )
 from comfreyarch_core.mapplan import PlannedMap, plan_map
+from comfreyarch_core.slowranks import make_slow_ranks
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
@@ -94,6 +95,7 @@
         'planned',
         'pressure',
         'reports',
+        'slow_ranks',
         'unsettled_since',
         'workers',
     )
@@ -120,6 +122,7 @@
         self.must_resign = False
         self.last_tick_at = boot_time()
         self.health = make_health_watch()
+        self.slow_ranks = make_slow_ranks()
         self.is_engine_usable = True
         self.leadership = leadership
         self.log = log
@@ -221,11 +224,27 @@
         now = boot_time()
         is_own_rank = rank == self.control.own_rank
         self.pressure.handle(report.state, is_own_rank, now)
+        self.watch_pace(report.state, now)
         if is_own_rank:
-            self.is_engine_usable = self.health.handle(report.state, now).usable
+            slowest = max(self.slow_ranks.paces.values(), default=1)
+            health = self.health.handle(report.state, now, slowest)
+            self.is_engine_usable = health.usable
         reported = Reported(report.state, report.number)
         self.apply_outcomes(self.control.handle(reported, now))
 
+    def watch_pace(self, state: EngineState, now: float) -> None:
+        """Log when a rank becomes slow, or is no longer slow."""
+        if not self.slow_ranks.handle(state.rank, state.pace, now):
+            return
+        paces = self.slow_ranks.paces
+        self.metrics.gauge('slow_ranks', len(paces))
+        self.log.write(
+            'slow_ranks',
+            group=self.group,
+            ranks=sorted(paces),
+            slowest=max(paces.values(), default=1),
+        )
+
     def apply_outcomes(self, outcomes: list[Outcome]) -> None:
         """Apply the outcomes of the map control."""
         sends = [outcome for outcome in outcomes if isinstance(outcome, Send)]
@@ -243,6 +262,9 @@
     def finish_change(self, version: int | None, why: str) -> None:
         """Log the end of a change and drop counts of the previous map."""
         self.reports.end_change()
+        # The group stood still for the leader's hold; it needs time for a step.
+        self.health.allow_time(boot_time())
+        self.is_engine_usable = True
         if why == NOT_PREPARED:
             self.log_unprepared()
         planned = self.planned
@@ -301,7 +323,8 @@
             return
         if self.control.is_quiescent() and self.is_engine_usable:
             self.unsettled_since = 0
-            if self.pressure.is_high(self.control.size):
+            is_due = self.slow_ranks.is_map_due(boot_time())
+            if is_due or self.pressure.is_high(self.control.size):
                 self.plan_change(content)
         elif self.is_unsettled():
             self.control.content = content
