--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -32,6 +32,7 @@
 )
 from comfreyarch_core.mapplan import PlannedMap, measure_skew, plan_map
 from comfreyarch_core.planschedule import make_plan_schedule
+from comfreyarch_core.slowranks import make_slow_ranks
 from comfreyarch_core.storeposition import era_of
 from comfreyarch_daemon.engineapi import EngineApi, EngineUnavailable
 from comfreyarch_daemon.eventlog import EventLog
@@ -98,6 +99,7 @@
         'pressure',
         'reports',
         'schedule',
+        'slow_ranks',
         'unsettled_since',
         'workers',
     )
@@ -124,6 +126,7 @@
         self.must_resign = False
         self.last_tick_at = boot_time()
         self.health = make_health_watch()
+        self.slow_ranks = make_slow_ranks()
         self.is_engine_usable = True
         self.leadership = leadership
         self.log = log
@@ -228,8 +231,11 @@
         now = boot_time()
         is_own_rank = rank == self.control.own_rank
         self.pressure.handle(report.state, is_own_rank, now)
+        self.watch_pace(report.state, now)
         if is_own_rank:
-            self.is_engine_usable = self.health.handle(report.state, now).usable
+            slowest = max(self.slow_ranks.paces.values(), default=1)
+            health = self.health.handle(report.state, now, slowest)
+            self.is_engine_usable = health.usable
         reported = Reported(report.state, report.number)
         self.apply_outcomes(self.control.handle(reported, now))
 
@@ -240,6 +246,19 @@
         self.reports.handle_counts(counts)
         self.schedule.handle(counts.rank, counts.counts, boot_time())
 
+    def watch_pace(self, state: EngineState, now: float) -> None:
+        """Log when a rank becomes slow, or is no longer slow."""
+        if not self.slow_ranks.handle(state.rank, state.pace, now):
+            return
+        paces = self.slow_ranks.paces
+        self.metrics.gauge('slow_ranks', len(paces))
+        self.log.write(
+            'slow_ranks',
+            group=self.group,
+            ranks=sorted(paces),
+            slowest=max(paces.values(), default=1),
+        )
+
     def apply_outcomes(self, outcomes: list[Outcome]) -> None:
         """Apply the outcomes of the map control."""
         sends = [outcome for outcome in outcomes if isinstance(outcome, Send)]
@@ -257,6 +276,9 @@
     def finish_change(self, version: int | None, why: str) -> None:
         """Log the end of a change and drop counts of the previous map."""
         self.reports.end_change()
+        # The group stood still for the leader's hold; it needs time for a step.
+        self.health.allow_time(boot_time())
+        self.is_engine_usable = True
         if why == NOT_PREPARED:
             self.log_unprepared()
         planned = self.planned
@@ -417,7 +439,8 @@
         slowness = [states[rank].pace for rank in sorted(states)]
         skew = measure_skew(content, loads, slowness)
         self.pressure.handle_skew(skew)
-        if not self.pressure.is_high(self.control.size, skew):
+        is_due = self.slow_ranks.is_map_due(boot_time())
+        if not is_due and not self.pressure.is_high(self.control.size, skew):
             return
         planned = plan_map(
             content, loads, self.limits, slowness, pause_planning
