Plan beside a frozen sidecar whose engine runs

Cause: the leader took the state and the counts of a rank from its sidecar only. Beside a frozen one it planned nothing until that one resumed, and orders to its engine were resent until an old reading showed them.

Change: the leader reads an engine's state where what is known of a silent rank keeps the group from a change, and plans with empty counts for up to a third of the ranks. Three candidates instead of two receive states, which are resent after two readings.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -37,6 +37,7 @@
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.orderdelivery import OrderDelivery, OrderSender
 from comfreyarch_daemon.sidecarmessages import ExpertCounts, StateReport
+from comfreyarch_daemon.silentranks import FIRST_REPORT_S, SilentRanks
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -95,6 +96,7 @@
         'planned',
         'pressure',
         'reports',
+        'silent_ranks',
         'slow_ranks',
         'unsettled_since',
         'workers',
@@ -118,7 +120,11 @@
         self.group = own_state.group
         self.limits = rules.limits
         self.pressure = make_pressure_monitor(rules.service_limits)
-        self.unsettled_since = 0.0
+        # A change of the former leader, if any, has been silent for longer than a
+        # switch takes. Only the first reports to this leader are awaited.
+        self.unsettled_since = (
+            boot_time() + FIRST_REPORT_S - UNSETTLED_TIMEOUT_S
+        )
         self.must_resign = False
         self.last_tick_at = boot_time()
         self.health = make_health_watch()
@@ -136,6 +142,14 @@
             log,
             self.handle_direct_reading,
         )
+        self.silent_ranks = SilentRanks(
+            self.control,
+            self.reports,
+            open_engine,
+            self.delivery.pass_on_reading,
+            log,
+            metrics,
+        )
         self.planned: PlannedMap | None = None
         self.former: AbsentLeader | None = None
         self.find_known_map: Callable[[EngineState, int], GroupMap | None] = (
@@ -204,12 +218,15 @@
             self.log.write('leader_paused', paused_s=round(paused_s, 3))
         return not self.must_resign
 
-    def add_earlier_report(self, report: StateReport) -> None:
+    def add_earlier_report(
+        self, report: StateReport, received_at: float
+    ) -> None:
         """Process a rank's report that was received before this term.
 
         It does not show that the rank's sidecar is alive now.
         """
         rank = report.state.rank
+        self.delivery.last_reports[rank] = (received_at, report.number)
         self.reports.engine_addresses[rank] = report.engine
         reported = Reported(report.state, report.number)
         self.apply_outcomes(self.control.handle(reported, boot_time()))
@@ -313,6 +330,7 @@
 
         Neither starts while the content of the map in use is unknown.
         """
+        self.silent_ranks.read_states(boot_time())
         own_state = self.control.states.get(self.control.own_rank)
         content = self.reports.assemble_map(own_state)
         if content is None and own_state is not None:
@@ -325,6 +343,7 @@
             self.unsettled_since = 0
             is_due = self.slow_ranks.is_map_due(boot_time())
             if is_due or self.pressure.is_high(self.control.size):
+                self.silent_ranks.stand_in(content, boot_time())
                 self.plan_change(content)
         elif self.is_unsettled():
             self.control.content = content
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -53,17 +53,19 @@
 ANNOUNCE_INTERVAL_S = 0.15
 # Number of lowest ranks that receive states besides the leader, because one of
 # them leads next.
-LEADER_CANDIDATES = 2
+LEADER_CANDIDATES = 3
 # Interval at which a state is resent if nothing else than its step or request
-# counts changed.
-STATE_RESEND_INTERVAL_S = 0.3
+# counts changed. It is less than that of two readings: a third one would make the
+# rank seem silent.
+STATE_RESEND_INTERVAL_S = 0.28
 
 
 class RankNode:
     """Run the sidecar of a rank.
 
     :param addresses: datagram addresses of the group's sidecars, by rank.
-    :param peer_states: the last state report of each other rank.
+    :param peer_states: the last state report of each other rank, and the time of
+        its receipt.
     :param leader: the map leader while this sidecar leads the group, else None.
     :param rules: reads the rules for the group's maps.
     """
@@ -147,7 +149,7 @@
         self.leader_view = LeaderView(
             process_started_at=boot_time(), leader_seen_at=boot_time()
         )
-        self.peer_states: dict[int, StateReport] = {}
+        self.peer_states: dict[int, tuple[StateReport, float]] = {}
         self.workers: list[gevent.Greenlet] = []
         self.stopped = Event()
         self.settings_file = SettingsFileWatcher(path, self.reload)
@@ -253,7 +255,7 @@
             return
         is_new = self.addresses.get(report.state.rank) != address
         self.addresses[report.state.rank] = address
-        self.peer_states[report.state.rank] = report
+        self.peer_states[report.state.rank] = (report, boot_time())
         if self.leader is not None:
             if is_new and not self.leader.must_resign:
                 # The sender may be about to claim leadership.
@@ -438,12 +440,12 @@
         )
         self.leader.find_known_map = self.agent.saved_maps.find_current
         self.leader.set_former_leader(former, self.addresses)
-        for report in self.peer_states.values():
+        for report, received_at in self.peer_states.values():
             if (
                 report.state.epoch == own_state.epoch
                 and report.state.rank != own_state.rank
             ):
-                self.leader.add_earlier_report(report)
+                self.leader.add_earlier_report(report, received_at)
         self.leader.start()
         self.leader_view.announcements = 0
         announce_leader(self, self.leader)
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -4,6 +4,8 @@
 store and links are small fakes.
 """
 
+from collections import deque
+from dataclasses import replace
 from pathlib import Path
 
 import cbor2
@@ -12,6 +14,7 @@
 
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import ServiceLimits
+from comfreyarch_core.mapplan import first_map
 from comfreyarch_core.setplanner import MapLimits
 from comfreyarch_daemon import (
     mapleader,
@@ -20,6 +23,7 @@
     peerlookup,
     rankagent,
     ranknode,
+    silentranks,
 )
 from comfreyarch_daemon.engineapi import (
     ChosenExperts,
@@ -29,10 +33,20 @@
 from comfreyarch_daemon.leadership import LeaderRow, MapRules, Term
 from comfreyarch_daemon.ranknode import RankNode
 from comfreyarch_daemon.ranksettings import RankAdapter, RankSettings
+from standins.rankgroup import Group
 
 LATENCY_S = 0.0014
 STORE_S = 0.004
-MODULES = (mapleader, maprules, orderdelivery, peerlookup, rankagent, ranknode)
+COPY_S = 0.1
+MODULES = (
+    mapleader,
+    maprules,
+    orderdelivery,
+    peerlookup,
+    rankagent,
+    ranknode,
+    silentranks,
+)
 
 
 class GroupWorld:
@@ -93,7 +107,9 @@
         node = RankNode(
             RankAdapter(
                 read_settings=lambda _path: settings,
-                open_engine=lambda address: FakeEngine(self, int(address)),
+                open_engine=lambda address: self.open_engine(
+                    rank, int(address)
+                ),
                 open_leadership=lambda _settings: self,
                 open_peers=lambda _settings: self,
                 read_map_rules=lambda _settings: rules,
@@ -108,6 +124,10 @@
         ):
             self.clock.spawn_for(rank, rank / 1000, work)
 
+    def open_engine(self, _reader, rank):
+        """Open a connection to an engine."""
+        return FakeEngine(self, rank)
+
     def run(self, seconds):
         """Run everything for some seconds."""
         self.clock.run_until(self.clock.now + seconds)
@@ -263,6 +283,109 @@
         return size_bytes / 300_000
 
 
+class WorkingWorld(GroupWorld):
+    """Add engines that execute orders about maps.
+
+    :param direct_orders: number of orders from other instances.
+    :param direct_reads: number of readings from other instances.
+    """
+
+    def __init__(self, size, monkeypatch, former=''):
+        super().__init__(size, monkeypatch, former)
+        self.group = Group(size, step=10)
+        self.copying = {}
+        self.past = {}
+        self.direct_orders = 0
+        self.direct_reads = 0
+        self.stopped_engines = set()
+        self.hot = 0
+        self.counts = [0] * (2 * size)
+        self.base = first_map(1, 2 * size, size)
+        self.clock.spawn_for(None, 0, self.run_steps)
+
+    def run_steps(self):
+        """Run steps, count choices and keep the past states."""
+        while True:
+            self.group.start_step()
+            assert not self.group.violation
+            for expert in range(2 * self.size):
+                is_hot = expert % self.size // 4 == self.hot
+                self.counts[expert] += 10 if is_hot else 1
+            for rank in range(self.size):
+                kept = self.past.setdefault(rank, deque(maxlen=5))
+                kept.append(self.read_state(rank))
+            self.clock.sleep(self.pass_s)
+
+    def read_state(self, rank):
+        """Read the state of a rank's engine."""
+        return replace(
+            self.group.state(rank),
+            group='g',
+            epoch=self.epoch,
+            running=4,
+            pace=self.slow.get(rank, 1),
+        )
+
+    def open_engine(self, reader, rank):
+        """Open a connection to an engine."""
+        return WorkingEngine(self, rank, is_own=reader == rank)
+
+
+class WorkingEngine(FakeEngine):
+    """Stand in for a connection to an engine that executes orders.
+
+    Other instances read states that are some passes old.
+    """
+
+    def __init__(self, world, rank, is_own):
+        super().__init__(world, rank)
+        self.is_own = is_own
+
+    def check_running(self):
+        """Give no answer if the engine stands still."""
+        if self.rank in self.world.stopped_engines:
+            raise EngineUnavailable('no answer')
+
+    def state(self):
+        """Read the state."""
+        self.check_running()
+        if self.is_own:
+            return super().state()
+        self.world.direct_reads += 1
+        return self.world.past[self.rank][0]
+
+    def chosen(self):
+        """Read the counts."""
+        return ChosenExperts(self.world.epoch, tuple(self.world.counts))
+
+    def held(self):
+        """Read the experts."""
+        engine = self.world.group.engines[self.rank]
+        content = engine.content if engine.version else self.world.base
+        return HeldExperts(
+            engine.version, tuple(ranks[self.rank] for ranks in content)
+        )
+
+    def order(self, order, _epoch, _sequence):
+        """Execute an order; a map is prepared after its copy."""
+        self.check_running()
+        self.world.direct_orders += not self.is_own
+        engine = self.world.group.engines[self.rank]
+        before = engine.prepared
+        accepted = self.world.group.apply_order(self.rank, order)
+        if accepted and engine.prepared != before:
+            prepared, engine.prepared = engine.prepared, before
+            self.world.clock.spawn_for(
+                None, COPY_S, self.end_copy, engine, prepared
+            )
+        return accepted
+
+    def end_copy(self, engine, prepared):
+        """Complete the copy of a map."""
+        if engine.highest_version == prepared[0]:
+            engine.prepared = prepared
+
+
 def address_of(rank):
     """Return the address of a rank's sidecar."""
     return f'10.0.0.{rank}:1'
