Keep sends to cold upstreams within what they tolerate

Sends to upstreams that are cold after their start were not limited: all entries chose an empty upstream at once. What a cold upstream tolerates is now divided into whole sends, each owned by one entry through rendezvous hashing over the list of entries and used once in a period of at least 1.2 s. No messages are exchanged, so the bound holds for entries that are cut off, frozen or started anew.

coldStartS and coldPerS of services and coldOverage and coldAllowance of the settings are read. Without coldPerS a cold upstream is only preferred less. A list entry without coldRemainingMs is now distinguished from one that states 0.

--- /dev/null
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
@@ -0,0 +1,364 @@
+"""Limit the sends to upstreams that are cold after their start.
+
+A cold upstream tolerates a number of requests per second from all entries
+together. That number is divided into *sends*, each of which one entry may make
+once in a period. The entries that own the sends of an upstream follow from the
+list of entries by rendezvous hashing, so nothing is exchanged, and the sum over
+all entries holds whether they reach each other or not.
+"""
+
+import math
+from collections import deque
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, field
+
+from comfreyarch_core.rendezvous import sort_by_score
+from comfreyarch_core.upstreamlist import UpstreamEntry
+
+# Time from the use of an allowed send within which the request must be sent; its
+# connection opens within a few milliseconds.
+SEND_WITHIN_S = 0.1
+# Least period of a send. It is longer than the second of the bound by
+# ``SEND_WITHIN_S`` and by as much for differences of the delay to the upstream.
+MIN_PERIOD_S = 1.2
+# Time for which an entry owns sends after it was last listed or heard: it may be
+# cut off. The list is read once a minute.
+MEMBER_TTL_S = 120.0
+# Load added for a cold upstream, less than that of one request at 5 slots.
+COLD_LOAD = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class ColdBound:
+    """Bound the requests that may reach a cold upstream in any second.
+
+    :param overage: multiple of the tolerated requests per second.
+    :param allowance: additional requests.
+    """
+
+    overage: float = 1
+    allowance: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ColdRules:
+    """Describe how the upstreams of a service behave when cold.
+
+    :param start_s: time for which one is cold after its start.
+    :param per_s: requests per second that one tolerates while cold, 0 if it is
+        only slow.
+    """
+
+    start_s: float = 0
+    per_s: float = 0
+
+
+@dataclass(frozen=True, slots=True)
+class SendPlan:
+    """Divide what a cold upstream tolerates.
+
+    :param sends: number of sends, owned by the entries.
+    :param period_s: time between two uses of one send.
+    """
+
+    sends: int
+    period_s: float
+
+    def owned(self, rank: int, entries: int) -> int:
+        """Return the number of sends that one entry owns.
+
+        :param rank: place of the entry for the upstream, from 0.
+        :returns: a number; the sum over all ranks is ``sends``.
+        """
+        return self.sends // entries + (rank < self.sends % entries)
+
+
+@dataclass(frozen=True, slots=True)
+class ColdState:
+    """Represent what is known of one upstream.
+
+    :param version: orders the list entries of the upstream.
+    :param since: time from which it is cold.
+    :param stated_s: time for which it is cold, None if it follows from the
+        rules of its service.
+    """
+
+    version: tuple[int, int, int]
+    since: float
+    stated_s: float | None
+
+
+@dataclass(slots=True)
+class ColdUpstreams:
+    """Decide which upstreams are cold, and what this entry may send to them.
+
+    :param rules: rules by service.
+    :param states: what is known of the listed upstreams, by name.
+    :param seen_at: time at which each entry was last listed or heard.
+    :param usable_from: time before which this entry sends nothing to cold
+        upstreams, as its predecessor may have; infinite without a list of
+        entries.
+    :param ranks: place of this entry, by upstream.
+    :param free_at: times from which the owned sends may be used, by upstream.
+    :param sent_at: times of the recent sends, by upstream.
+    """
+
+    node: str
+    bound: ColdBound = field(default_factory=ColdBound)
+    rules: Mapping[str, ColdRules] = field(default_factory=dict)
+    states: dict[str, ColdState] = field(default_factory=dict)
+    seen_at: dict[str, float] = field(default_factory=dict)
+    usable_from: float = math.inf
+    ranks: dict[str, int] = field(default_factory=dict)
+    free_at: dict[str, list[float]] = field(default_factory=dict)
+    sent_at: dict[str, deque[float]] = field(default_factory=dict)
+
+    def rules_of(self, entry: UpstreamEntry) -> ColdRules:
+        """Return the rules of an upstream's service.
+
+        :returns: rules without a limit if none are configured.
+        """
+        return self.rules.get(entry.service, ColdRules())
+
+    def cold_until(self, entry: UpstreamEntry) -> float:
+        """Return the time until which an upstream is cold.
+
+        :returns: a time, minus infinity if nothing is known.
+        """
+        state = self.states.get(entry.name)
+        if state is None:
+            return -math.inf
+        if state.stated_s is None:
+            return state.since + self.rules_of(entry).start_s
+        return state.since + state.stated_s
+
+    def is_cold(self, entry: UpstreamEntry, now: float) -> bool:
+        """Check whether an upstream is cold.
+
+        :returns: False if it is neither slow nor limited after a start.
+        """
+        return now < self.cold_until(entry)
+
+    def tolerated(self, entry: UpstreamEntry, now: float) -> float:
+        """Return what an upstream tolerates from all entries.
+
+        :returns: requests per second, infinite without a limit.
+        """
+        per_s = self.rules_of(entry).per_s
+        return per_s if per_s > 0 and self.is_cold(entry, now) else math.inf
+
+    def update_upstreams(
+        self, entries: Collection[UpstreamEntry], now: float
+    ) -> None:
+        """Record the list of upstreams; what is known of others is dropped."""
+        is_first = not self.states
+        self.states = {
+            entry.name: self.next_state(entry, now, is_first=is_first)
+            for entry in entries
+        }
+        for known in (self.ranks, self.free_at, self.sent_at):
+            for name in known.keys() - self.states.keys():
+                known.pop(name)
+
+    def next_state(
+        self, entry: UpstreamEntry, now: float, *, is_first: bool
+    ) -> ColdState:
+        """Determine what a list entry says, if it is a new one.
+
+        :param is_first: whether no list was known before, so that the upstream
+            need not be one that starts.
+        :returns: the state.
+        """
+        known = self.states.get(entry.name)
+        version = version_of(entry)
+        if known is not None and known.version == version:
+            return known
+        is_start = not is_first
+        if known is not None:
+            is_start = known.version[0] != entry.started_ms
+        if entry.cold_s is None and known is not None and not is_start:
+            return ColdState(version, known.since, known.stated_s)
+        if is_start and not entry.cold_s:
+            return ColdState(version, now, None)
+        return ColdState(version, now, entry.cold_s)
+
+    def presume_cold(self, names: Iterable[str], now: float) -> None:
+        """Regard upstreams as cold, as after a start.
+
+        This holds until a newer list entry of theirs says otherwise.
+        """
+        for name in names:
+            state = self.states.get(name)
+            if state is not None:
+                self.states[name] = ColdState(state.version, now, None)
+
+    def record_entries(self, nodes: Iterable[str], now: float) -> None:
+        """Record the entries that share what cold upstreams tolerate.
+
+        To be called only with a complete list, which may lack those that have
+        just started.
+        """
+        former = self.seen_at.keys() | set()
+        for node in (*nodes, self.node):
+            self.seen_at[node] = now
+        for node, seen_at in list(self.seen_at.items()):
+            if now - seen_at > MEMBER_TTL_S:
+                self.seen_at.pop(node)
+        if self.usable_from == math.inf:
+            self.usable_from = now + MIN_PERIOD_S
+        if former != self.seen_at.keys():
+            self.ranks.clear()
+
+    def plan(self, entry: UpstreamEntry) -> SendPlan:
+        """Divide what an upstream tolerates while cold.
+
+        :returns: sends such that no second has more than the bound.
+        """
+        return make_plan(self.rules_of(entry).per_s, self.bound)
+
+    def owned_sends(self, entry: UpstreamEntry, plan: SendPlan) -> int:
+        """Return the number of sends to an upstream that this entry owns.
+
+        :returns: 0 without a list of entries.
+        """
+        if self.usable_from == math.inf:
+            return 0
+        rank = self.ranks.get(entry.name)
+        if rank is None:
+            rank = sort_by_score(self.seen_at, entry.name).index(self.node)
+            self.ranks[entry.name] = rank
+        return plan.owned(rank, len(self.seen_at))
+
+    def refresh(self, entry: UpstreamEntry, now: float) -> list[float]:
+        """Bring the owned sends to a cold upstream up to date.
+
+        :returns: times from which they may be used, lowest first.
+        """
+        plan = self.plan(entry)
+        owned = self.owned_sends(entry, plan)
+        free_at = self.free_at.get(entry.name)
+        if free_at is None:
+            free_at = self.first_times(entry, plan, owned)
+        # A send that passes to this entry was perhaps just used by another one.
+        gained = owned - len(free_at)
+        free_at += [now + plan.period_s] * gained
+        # Those used last are kept.
+        free_at = sorted(free_at)[max(0, -gained) :]
+        self.free_at[entry.name] = free_at
+        return free_at
+
+    def first_times(
+        self, entry: UpstreamEntry, plan: SendPlan, owned: int
+    ) -> list[float]:
+        """Compute when the owned sends to an upstream may first be used.
+
+        The sends of all entries are spread over a period, so that entries that
+        learn together that an upstream is cold do not send together.
+
+        :returns: times.
+        """
+        begin = max(self.states[entry.name].since, self.usable_from)
+        rank = self.ranks.get(entry.name, 0)
+        step_s = plan.period_s / max(1, plan.sends)
+        times = [
+            begin + step_s * (rank + len(self.seen_at) * number)
+            for number in range(owned)
+        ]
+        recent = sorted(self.sent_at.get(entry.name, ()), reverse=True)
+        for number, sent_at in enumerate(recent[:owned]):
+            times[number] = max(times[number], sent_at + plan.period_s)
+        return times
+
+    def next_send_at(self, entry: UpstreamEntry, now: float) -> float:
+        """Return when the next request may be sent to an upstream.
+
+        :returns: a time that is not after ``now`` if it may be sent now;
+            infinite if this entry may send none while the upstream is cold.
+        """
+        if self.tolerated(entry, now) == math.inf:
+            self.free_at.pop(entry.name, None)
+            return -math.inf
+        free_at = self.refresh(entry, now)
+        return min(self.cold_until(entry), free_at[0] if free_at else math.inf)
+
+    def may_send(self, entry: UpstreamEntry, now: float) -> bool:
+        """Check whether an upstream may get a request of this entry now.
+
+        :returns: False if it is cold and no owned send is free.
+        """
+        return self.next_send_at(entry, now) <= now
+
+    def record_send(self, entry: UpstreamEntry, now: float) -> float:
+        """Use a send to an upstream, after ``may_send``.
+
+        :returns: time by which the request must be sent, infinite if the
+            upstream is not limited.
+        """
+        per_s = self.rules_of(entry).per_s
+        if per_s <= 0:
+            return math.inf
+        plan = self.plan(entry)
+        # An upstream that becomes cold has had the requests sent before.
+        recent = self.sent_at.setdefault(entry.name, deque())
+        recent.append(now)
+        drop_older(recent, now - plan.period_s)
+        free_at = self.free_at.get(entry.name)
+        if not free_at or not self.is_cold(entry, now):
+            return math.inf
+        free_at[0] = now + plan.period_s
+        return now + SEND_WITHIN_S
+
+    def sends_per_s(self, entry: UpstreamEntry, now: float) -> float:
+        """Return what this entry sent to an upstream lately.
+
+        :returns: requests per second.
+        """
+        period_s = self.plan(entry).period_s
+        recent = self.sent_at.get(entry.name, deque())
+        drop_older(recent, now - period_s)
+        return len(recent) / period_s
+
+    def load(self, entry: UpstreamEntry, now: float) -> float:
+        """Return the load to add to an upstream's score.
+
+        :returns: load per slot.
+        """
+        return COLD_LOAD if self.is_cold(entry, now) else 0
+
+
+def drop_older(times: deque[float], start: float) -> None:
+    """Drop the times that are not after a start."""
+    while times and times[0] <= start:
+        times.popleft()
+
+
+def version_of(entry: UpstreamEntry) -> tuple[int, int, int]:
+    """Return what distinguishes the list entries of one upstream.
+
+    A copy that is read again, or written again by a restored store, is no newer
+    statement of the upstream.
+
+    :returns: start, sequence, and position only without a sequence.
+    """
+    listed = 0 if entry.sequence else entry.listed
+    return (entry.started_ms, entry.sequence, listed)
+
+
+def make_plan(per_s: float, bound: ColdBound) -> SendPlan:
+    """Divide what a cold upstream tolerates into sends.
+
+    :param per_s: requests per second.
+    :returns: the plan; without sends if the bound allows not even one in a
+        second.
+    """
+    most = math.floor(per_s * bound.overage + bound.allowance)
+    sends = max(0, min(math.ceil(per_s * MIN_PERIOD_S), most))
+    return SendPlan(sends, max(MIN_PERIOD_S, sends / per_s))
+
+
+def make_cold_upstreams(node: str) -> ColdUpstreams:
+    """Create the state of an entry that starts.
+
+    :returns: a state without upstreams, rules and known entries.
+    """
+    return ColdUpstreams(node)
--- a/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
@@ -12,6 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from comfreyarch_core.coldupstreams import ColdRules
+
 
 class RouteKind(enum.StrEnum):
     """Kind of a route: idempotent, not idempotent, or with streamed answers."""
@@ -113,11 +115,13 @@
 
     :param connection_limit: connections that an upstream accepts from all
         callers combined.
+    :param cold: how an upstream behaves after its start.
     """
 
     name: str
     connection_limit: int
     engine: EngineProfile | None = None
+    cold: ColdRules = ColdRules()
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -27,7 +27,8 @@
     :param name: identifier of the upstream, new after each restart.
     :param address: ``host:port``.
     :param leaving: whether the upstream drains.
-    :param cold_s: seconds for which it is still slow after its start.
+    :param cold_s: seconds for which it is still cold after its start, None if
+        not stated.
     :param listed: position of the store at which the entry was written.
     :param started_ms: Unix time in ms at which the upstream says it started, 0
         if unknown.
@@ -40,7 +41,7 @@
     availability_zone: str
     slots: int
     leaving: bool
-    cold_s: float = 0
+    cold_s: float | None = None
     listed: int = 0
     started_ms: int = 0
     sequence: int = 0
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -12,12 +12,14 @@
 import random
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from comfreyarch_core.announcements import (
     UpstreamAnnouncements,
     make_announcements,
 )
 from comfreyarch_core.circuitbreaker import CircuitBreaker, make_circuit_breaker
+from comfreyarch_core.coldupstreams import ColdUpstreams, make_cold_upstreams
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
@@ -136,6 +138,7 @@
     :param availability_zone: the entry's availability zone.
     :param announcements: what upstreams announced with their answers.
     :param permits: limits the sends to upstreams that announced a limit.
+    :param cold: limits the sends to upstreams that are cold.
     :param views: known upstreams by name, including leaving ones.
     :param services: upstreams that accept new requests, by service.
     :param pass_times: last reported pass time, by group.
@@ -148,6 +151,9 @@
         default_factory=make_announcements
     )
     permits: SendPermits = field(default_factory=Unlimited)
+    cold: ColdUpstreams = field(
+        default_factory=partial(make_cold_upstreams, '')
+    )
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
     circuit_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
@@ -248,8 +254,10 @@
 
         :returns: False if it may get no request, or all slots are taken.
         """
-        return self.permits.may_send(view.entry, now) and self.has_room(
-            view, now
+        return (
+            self.permits.may_send(view.entry, now)
+            and self.cold.may_send(view.entry, now)
+            and self.has_room(view, now)
         )
 
     def has_room(self, view: UpstreamView, now: float) -> bool:
@@ -383,6 +391,7 @@
             load += PASS_TIME_LOAD * (pass_s / fastest_pass_s - 1)
         if self.permits.rate(view.entry) < math.inf:
             load -= PERMITTED_BONUS
+        load += self.cold.load(view.entry, now)
         return load - LOCAL_ZONE_BONUS if is_local else load
 
     def update_load(self, name: str, report: LoadReport, now: float) -> None:
@@ -478,6 +487,24 @@
         return pause_s
 
 
+def next_send_at(selector: UpstreamSelector, service: str, now: float) -> float:
+    """Return when holds and coldness allow a request to a service.
+
+    :returns: a time that is not after ``now`` if they allow it; infinity if the
+        service has no upstreams.
+    """
+    return min(
+        (
+            max(
+                selector.announcements.hold_end(view.entry.name),
+                selector.cold.next_send_at(view.entry, now),
+            )
+            for view in selector.services.get(service, ())
+        ),
+        default=math.inf,
+    )
+
+
 def make_upstream_selector(
     availability_zone: str, seed: int
 ) -> UpstreamSelector:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -102,6 +102,7 @@
             log,
             metrics,
         )
+        self.forwarder.cold.state.bound = settings.cold_bound
         self.table: RouteTable | None = None
         self.first_table = Event()
         self.open_requests = 0
@@ -171,6 +172,7 @@
             )
             return
         self.table = table
+        self.forwarder.cold.apply_rules(table)
         self.first_table.set()
         self.log.write(
             'configuration',
@@ -192,6 +194,7 @@
             if not selector.announcements.is_leaving(entry):
                 self.forwarder.crash_guard.record_upstream_death(name)
         selector.update_upstreams(upstreams)
+        self.forwarder.cold.update_upstreams(upstreams)
         self.forwarder.limits.keep_listed(upstreams)
         self.dispatcher.serve_queues()
         self.forwarder.pool.keep_only(names)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -223,6 +223,7 @@
                 self.entry.forwarder.entry_count.record(entries, boot_time())
             self.tables.report_ages()
             self.entry.forwarder.limits.report()
+            self.entry.forwarder.cold.report(self.load_gossip.members())
             self.entry.forwarder.pool.trim()
 
     def check_era(self) -> None:
@@ -307,6 +308,7 @@
         self.log.write('reload', changed=settings != self.settings)
         self.settings = settings
         self.entry.forwarder.retry_limits = settings.retries
+        self.entry.forwarder.cold.state.bound = settings.cold_bound
 
     def terminate(self) -> None:
         """Begin a graceful shutdown; later calls have no effect."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from comfreyarch_core.coldupstreams import ColdBound
 from comfreyarch_core.retryshare import RetryLimits
 
 
@@ -21,6 +22,7 @@
     :param grace_s: time from a stop signal to the forced end of the process.
     :param seed: seed of the entry's random choices.
     :param link_bytes_per_s: capacity of the instance's link, 0 if unknown.
+    :param cold_bound: bound of the requests to a cold upstream.
     """
 
     node: str
@@ -34,3 +36,4 @@
     grace_s: float
     seed: int
     link_bytes_per_s: float = 0
+    cold_bound: ColdBound = ColdBound()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -12,6 +12,7 @@
     NO_UPSTREAMS,
     UpstreamSelector,
     UpstreamView,
+    next_send_at,
 )
 from comfreyarch_core.waitqueue import Waiter, WaitQueue, make_wait_queue
 from comfreyarch_daemon.dispatcherrors import DispatchError, make_late_error
@@ -154,7 +155,10 @@
         )
         if view is None:
             return None
-        waiter.send_by = self.selector.permits.use_permit(view.entry, now)
+        waiter.send_by = min(
+            self.selector.permits.use_permit(view.entry, now),
+            self.selector.cold.record_send(view.entry, now),
+        )
         view.in_flight += 1
         self.selector.circuit_breaker(waiter.service).sent(now)
         self.on_load_change()
@@ -173,7 +177,7 @@
 
         :raises DispatchError: if none does, with the earliest end.
         """
-        hold_end = self.selector.hold_end(waiter.service)
+        hold_end = next_send_at(self.selector, waiter.service, now)
         if math.isfinite(hold_end) and hold_end >= waiter.latest_start_at:
             raise DispatchError(
                 f'all upstreams of service {waiter.service!r} want no request'
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -17,6 +17,7 @@
 )
 from comfreyarch_core.routetable import Route
 from comfreyarch_core.upstreamselection import UpstreamView
+from comfreyarch_daemon.coldreports import ColdReports
 from comfreyarch_daemon.dispatching import Dispatcher
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.headercodec import (
@@ -145,11 +146,13 @@
         announces that it leaves.
     :param crash_guard: bars what crashes upstreams.
     :param limits: request limits that upstreams announce.
+    :param cold: upstreams that are cold after their start.
     :param retry_shares: retry budgets by service.
     :param senders: the requests that wait or are sent now.
     """
 
     __slots__ = (
+        'cold',
         'crash_guard',
         'dispatcher',
         'entry_count',
@@ -185,6 +188,7 @@
         self.pool = ConnectionPool()
         self.crash_guard = SharedCrashGuard(log, metrics)
         self.limits = SharedLimits(log.node, dispatcher, log, metrics)
+        self.cold = ColdReports(log.node, dispatcher.selector, log, metrics)
         self.limits.share_with(lambda: self.entry_count.highest(boot_time()))
         self.retry_shares: dict[str, RetryShare] = {}
         self.started_at = boot_time()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -136,9 +136,17 @@
         :returns: this one, those listed and those that send their load; None
             before the first listing.
         """
+        members = self.members()
+        return None if members is None else len(members)
+
+    def members(self) -> set[str] | None:
+        """Return the entries, see ``count_entries``.
+
+        :returns: names, None before the first listing.
+        """
         if self.listed is None:
             return None
-        return 1 + len(self.listed | self.last_received_at.keys())
+        return {self.node} | self.listed | self.last_received_at.keys()
 
     def receive_load(self, message: list[Any], address: str) -> None:
         """Handle the load of a peer.
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,6 +9,7 @@
 import msgspec
 import pytest
 
+from comfreyarch_core.coldupstreams import ColdBound, ColdRules
 from comfreyarch_core.enginestate import (
     ArmedSwitch,
     ArmMap,
@@ -172,6 +173,23 @@
     assert decode_upstream('i', json.dumps(leaving).encode(), 1).leaving
 
 
+# Fails if a time that is not stated is taken for a statement that it is warm.
+def test_the_time_for_which_a_server_is_cold():
+    stated = {100: 0.1, 0: 0, -5: 0, None: None, 'x': None}
+    for cold_ms, cold_s in stated.items():
+        document = json.dumps({**SERVER, 'coldRemainingMs': cold_ms}).encode()
+        assert decode_upstream('i', document, 1).cold_s == cold_s
+
+
+def test_cold_servers_of_a_service():
+    cold = {'name': 'z', 'coldStartS': 3, 'coldPerS': 28.5}
+    services = [*CONFIGURATION['services'], cold]
+    document = json.dumps({**CONFIGURATION, 'services': services}).encode()
+    table = decode_configuration(document)
+    assert table.services['z'].cold == ColdRules(3, 28.5)
+    assert table.services['x'].cold == ColdRules(0, 0)
+
+
 @pytest.mark.parametrize(
     'change',
     [
@@ -392,6 +410,15 @@
         read_rank_settings(path)
 
 
+def test_bounds_of_cold_upstreams(tmp_path):
+    path = tmp_path / 'boot'
+    path.write_text(json.dumps(BOOT))
+    assert read_entry_settings(path).cold_bound == ColdBound(1, 0)
+    bounds = {**BOOT['bounds'], 'coldOverage': 1.5, 'coldAllowance': 5}
+    path.write_text(json.dumps({**BOOT, 'bounds': bounds}))
+    assert read_entry_settings(path).cold_bound == ColdBound(1.5, 5)
+
+
 def test_settings_of_a_sidecar(tmp_path):
     path = tmp_path / 'boot'
     boot = {**BOOT, 'app': '10.1.0.40:8228', 'service': 'x'}
