Place a request again if its upstream becomes cold while it connects

A request that was assigned a slot at an upstream that was not cold then was sent without a limit once its connection opened. The limit is now checked again before the send. Without a list of entries nothing is kept of the owned sends: they would all have become free together, two periods after the list arrived.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
@@ -53,6 +53,9 @@
     per_s: float = 0
 
 
+NO_RULES = ColdRules()
+
+
 @dataclass(frozen=True, slots=True)
 class SendPlan:
     """Divide what a cold upstream tolerates.
@@ -118,7 +121,7 @@
 
         :returns: rules without a limit if none are configured.
         """
-        return self.rules.get(entry.service, ColdRules())
+        return self.rules.get(entry.service, NO_RULES)
 
     def cold_until(self, entry: UpstreamEntry) -> float:
         """Return the time until which an upstream is cold.
@@ -219,10 +222,8 @@
     def owned_sends(self, entry: UpstreamEntry, plan: SendPlan) -> int:
         """Return the number of sends to an upstream that this entry owns.
 
-        :returns: 0 without a list of entries.
+        :returns: a number, 0 for most entries if there are few sends.
         """
-        if self.usable_from == math.inf:
-            return 0
         rank = self.ranks.get(entry.name)
         if rank is None:
             rank = sort_by_score(self.seen_at, entry.name).index(self.node)
@@ -232,8 +233,11 @@
     def refresh(self, entry: UpstreamEntry, now: float) -> list[float]:
         """Bring the owned sends to a cold upstream up to date.
 
-        :returns: times from which they may be used, lowest first.
+        :returns: times from which they may be used, lowest first; none without
+            a list of entries.
         """
+        if self.usable_from == math.inf:
+            return []
         plan = self.plan(entry)
         owned = self.owned_sends(entry, plan)
         free_at = self.free_at.get(entry.name)
@@ -308,6 +312,19 @@
         free_at[0] = now + plan.period_s
         return now + SEND_WITHIN_S
 
+    def is_in_time(
+        self, entry: UpstreamEntry, send_by: float, now: float
+    ) -> bool:
+        """Check whether a request may still be sent, once it is connected.
+
+        :param send_by: time by which it must be sent, infinite if the upstream
+            was not limited when it was chosen.
+        :returns: False if it must be placed again.
+        """
+        if send_by < math.inf:
+            return now < send_by
+        return self.tolerated(entry, now) == math.inf
+
     def sends_per_s(self, entry: UpstreamEntry, now: float) -> float:
         """Return what this entry sent to an upstream lately.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -285,10 +285,12 @@
             except BaseException:
                 self.forwarder.dispatcher.release(view)
                 raise
-            if boot_time() < send_by:
+            if self.forwarder.selector.cold.is_in_time(
+                view.entry, send_by, boot_time()
+            ):
                 return view, connection
-            # The permit ended while the connection opened, or the process did
-            # not run.
+            # The permit ended, or the upstream became cold, while the connection
+            # opened or the process did not run.
             connection.close()
             self.forwarder.dispatcher.release(view)
 
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -157,6 +157,19 @@
     assert 28 <= world.most() <= 47
 
 
+# Fails if two rounds of sends fall into one second, as connections and requests
+# take up to 0.1 s each.
+@pytest.mark.parametrize('seed', range(4))
+def test_short_bursts_a_second_apart(seed):
+    world = ColdWorld(26, 4, RULES, seed, delay_s=0.1)
+    world.now = 5
+    world.state_cold(60)
+    for begin in range(8, 40):
+        world.now = begin
+        world.play(begin + 0.1)
+    assert world.most() <= make_plan(28, BOUND).sends
+
+
 # Fails if the requests sent before an upstream became cold are left out.
 def test_an_upstream_that_becomes_cold_again():
     world = ColdWorld(26, 4, RULES, chance=0.01)
@@ -289,6 +302,47 @@
     assert not cold.is_cold(entry, 20.1)
 
 
+# Fails if a request that was sent before the upstream became cold is left out.
+def test_the_sends_before_an_upstream_became_cold_count():
+    cold = make_cold(upstream(cold_s=0), rules=ColdRules(3, 1))
+    assert cold.record_send(upstream(), 9.9) == float('inf')
+    assert cold.record_send(upstream(), 9.95) == float('inf')
+    entry = upstream(cold_s=3, sequence=2)
+    cold.update_upstreams([entry], 10)
+    # Two sends in 2 s, both used just before.
+    assert cold.next_send_at(entry, 10) == pytest.approx(11.9)
+
+
+# Fails if an entry that starts sends what its predecessor may just have sent.
+def test_an_entry_that_starts_waits_for_a_period():
+    entry = upstream(cold_s=60)
+    cold = make_cold_upstreams('e')
+    cold.bound = BOUND
+    cold.rules = {'s': RULES}
+    cold.update_upstreams([entry], 0)
+    assert cold.next_send_at(entry, 5) == 60
+    cold.record_entries(['e'], 10)
+    assert not cold.may_send(entry, 10 + MIN_PERIOD_S - 0.01)
+    # They are spread over the next period.
+    free_at = cold.free_at['u0']
+    assert free_at[-1] - free_at[0] > 0.9 * MIN_PERIOD_S
+    assert cold.may_send(entry, 10 + MIN_PERIOD_S + 0.01)
+
+
+# Fails if a send that passes between entries is used by both within a second.
+def test_a_send_that_passes_to_an_entry_is_unused_for_a_period():
+    entry = upstream(cold_s=600)
+    cold = make_cold(entry)
+    cold.record_entries(['e', 'other'], 1)
+    cold.next_send_at(entry, 10)
+    assert len(cold.free_at['u0']) == 17
+    cold.record_entries(['e'], 200)
+    cold.next_send_at(entry, 200)
+    free_at = cold.free_at['u0']
+    assert len(free_at) == 34
+    assert sum(at >= 200 + MIN_PERIOD_S for at in free_at) == 17
+
+
 # Fails if a deployment without the rule is limited.
 def test_a_slow_upstream_is_only_preferred_less():
     entries = [upstream('u0', 0), upstream('u1', 60)]
