--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -13,12 +13,14 @@
 import random
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
+from functools import partial
 
 from comfreyarch_core.announcements import (
     UpstreamAnnouncements,
     make_announcements,
 )
 from comfreyarch_core.circuitbreaker import CircuitBreaker, make_circuit_breaker
+from comfreyarch_core.coldupstreams import ColdUpstreams, make_cold_upstreams
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
@@ -154,6 +156,7 @@
     :param announcements: what upstreams announced with their answers.
     :param permits: limits the sends to upstreams that announced a limit.
     :param evacuations: zones whose upstreams get no request.
+    :param cold: limits the sends to upstreams that are cold.
     :param views: known upstreams by name, including leaving ones.
     :param services: upstreams that neither leave nor are in an evacuated zone,
         by service.
@@ -168,6 +171,9 @@
     )
     permits: SendPermits = field(default_factory=Unlimited)
     evacuations: ZoneEvacuations = field(default_factory=make_zone_evacuations)
+    cold: ColdUpstreams = field(
+        default_factory=partial(make_cold_upstreams, '')
+    )
     views: dict[str, UpstreamView] = field(default_factory=dict)
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
     circuit_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
@@ -274,8 +280,10 @@
 
         :returns: False if it may get no request, or all slots are taken.
         """
-        return self.permits.may_send(view.entry, now) and self.has_room(
-            view, now
+        return (
+            self.permits.may_send(view.entry, now)
+            and self.cold.may_send(view.entry, now)
+            and self.has_room(view, now)
         )
 
     def has_room(self, view: UpstreamView, now: float) -> bool:
@@ -412,6 +420,7 @@
             load += PASS_TIME_LOAD * (pass_s / fastest_pass_s - 1)
         if self.permits.rate(view.entry) < math.inf:
             load -= PERMITTED_BONUS
+        load += self.cold.load(view.entry, now)
         return load - LOCAL_ZONE_BONUS if is_local else load
 
     def update_load(self, name: str, report: LoadReport, now: float) -> None:
@@ -524,6 +533,24 @@
     return ready if slow > MAX_UNUSED_SLOW_SHARE * len(views) else usual
 
 
+def next_send_at(selector: UpstreamSelector, service: str, now: float) -> float:
+    """Return when holds and coldness allow a request to a service.
+
+    :returns: a time that is not after ``now`` if they allow it; infinity if the
+        service has no upstreams.
+    """
+    return min(
+        (
+            max(
+                selector.announcements.hold_end(view.entry.name),
+                selector.cold.next_send_at(view.entry, now),
+            )
+            for view in selector.services.get(service, ())
+        ),
+        default=math.inf,
+    )
+
+
 def make_upstream_selector(
     availability_zone: str, seed: int
 ) -> UpstreamSelector:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -228,6 +228,7 @@
             self.tables.report_ages()
             self.entry.forwarder.limits.report()
             self.entry.forwarder.zone_control.report()
+            self.entry.forwarder.cold.report(self.load_gossip.members())
             self.entry.forwarder.pool.trim()
 
     def check_era(self) -> None:
@@ -312,6 +313,7 @@
         self.log.write('reload', changed=settings != self.settings)
         self.settings = settings
         self.entry.forwarder.retry_limits = settings.retries
+        self.entry.forwarder.cold.state.bound = settings.cold_bound
 
     def terminate(self) -> None:
         """Begin a graceful shutdown; later calls have no effect."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directsettings.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from comfreyarch_core.coldupstreams import ColdBound
 from comfreyarch_core.retryshare import RetryLimits
 
 
@@ -23,6 +24,7 @@
     :param link_bytes_per_s: capacity of the instance's link, 0 if unknown.
     :param evacuation_s: time within which the evacuation of a zone must be in
         force, 0 if there is no such rule.
+    :param cold_bound: bound of the requests to a cold upstream.
     """
 
     node: str
@@ -37,3 +39,4 @@
     seed: int
     link_bytes_per_s: float = 0
     evacuation_s: float = 0
+    cold_bound: ColdBound = ColdBound()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -286,11 +286,14 @@
                 self.forwarder.dispatcher.release(view)
                 raise
             now = boot_time()
-            evacuations = self.forwarder.selector.evacuations
-            if now < send_by and evacuations.may_send(view.entry, now):
+            selector = self.forwarder.selector
+            if selector.evacuations.may_send(
+                view.entry, now
+            ) and selector.cold.is_in_time(view.entry, send_by, now):
                 return view, connection
-            # The permit ended or the evacuation of the zone began while the
-            # connection opened, or the process did not run.
+            # The permit ended, the upstream became cold, or the evacuation of
+            # its zone began, while the connection opened or the process did
+            # not run.
             connection.close()
             self.forwarder.dispatcher.release(view)
 
