Order and refuse waiting requests over the queues of all entries

Each entry ordered only its own queue and predicted waits from its own few starts. The load message now carries the count and work of waiting requests by rank in a field that earlier releases ignore. Entries leave free slots to more urgent requests elsewhere for at most 0.3 s, predict waits from all slots and the time an answer occupies one, and refuse queued requests that lost their chance. One start in eight is reserved for less urgent requests, no request is refused while half of the slots are free, and Retry-After is spread.

--- a/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
@@ -7,6 +7,7 @@
 
 from dataclasses import dataclass, field
 
+from comfreyarch_core.fleetqueue import Backlog
 from comfreyarch_core.tablefreshness import Confirmation
 
 # Counts of an entry that has not been heard from for this time are dropped.
@@ -26,6 +27,8 @@
     :param waiting: requests that wait at the entry, by service.
     :param tables: version of the newest known row, by table.
     :param confirmations: age of what is known, by table.
+    :param backlogs: requests that wait at the entry, by service and rank;
+        none from earlier releases.
     """
 
     node: str
@@ -35,6 +38,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     tables: dict[str, int] = field(default_factory=dict)
     confirmations: dict[str, Confirmation] = field(default_factory=dict)
+    backlogs: dict[str, tuple[Backlog, ...]] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -100,6 +104,18 @@
             load.waiting.get(service, 0) for load, _ in self.loads.values()
         )
 
+    def backlogs(self, service: str) -> tuple[Backlog, ...]:
+        """Return what waits at the other entries.
+
+        :returns: the sums by rank of each entry.
+        """
+        return tuple(
+            backlog
+            for load, _ in self.loads.values()
+            if load.backlogs
+            for backlog in load.backlogs.get(service, ())
+        )
+
     def others(self, upstream: str) -> int:
         """Return what the other entries have in flight at an upstream.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -478,6 +478,28 @@
         return pause_s
 
 
+def count_slots(
+    selector: UpstreamSelector, service: str, now: float
+) -> tuple[int, float]:
+    """Count the slots of a service.
+
+    Upstreams that are paused after a rejection are busy, not down.
+
+    :returns: the slots of all upstreams that are up, and those that can
+        take a request now.
+    """
+    slots = 0
+    free = 0.0
+    for view in selector.services.get(service, ()):
+        accepts = selector.accepts(view, now)
+        if accepts or (view.consecutive_rejections and view.is_healthy(now)):
+            slots += view.entry.slots
+        if accepts:
+            used = selector.total_in_flight(view, now)
+            free += max(0, view.entry.slots - used)
+    return slots, free
+
+
 def make_upstream_selector(
     availability_zone: str, seed: int
 ) -> UpstreamSelector:
--- a/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
@@ -1,9 +1,9 @@
 """Order the requests that wait at an entry for a free slot.
 
-More urgent requests go first. Among equally urgent ones, requests that can
-still meet their latency objective go before those that cannot, so that a
-backlog delays only the requests that are already late and not every request
-that arrives after them.
+More urgent requests go first. Requests that can no longer meet their latency
+objective go after those of the next urgency that can, so that a backlog delays
+only the requests that are already late and not every request that arrives after
+them. One start in eight goes to a less urgent request, the one due first.
 
 If all upstreams of the service are limited, requests go in the order of their
 deadlines, against the rate that the upstreams take: what cannot be served in time
@@ -13,6 +13,16 @@
 import math
 from dataclasses import dataclass, field
 
+from comfreyarch_core.fleetqueue import (
+    RESERVED_SHARE,
+    Backlog,
+    FleetQueue,
+    make_fleet_queue,
+    summarize,
+)
+from comfreyarch_core.waiter import Waiter
+from comfreyarch_core.workahead import make_work_ahead
+
 # Weight of the newest interval in the moving average of the time between two
 # starts.
 START_INTERVAL_WEIGHT = 0.2
@@ -21,62 +31,9 @@
 # Part of its time that a request may be expected to wait for limited upstreams,
 # since the requests that wait at other entries are known late.
 MAX_LIMITED_WAIT = 0.7
-
-
-@dataclass(eq=False, slots=True)
-class Waiter:
-    """Represent one waiting request; all times are on one monotonic clock.
-
-    :param urgency: effective priority of the request; 0 is served first.
-    :param target_start_at: latest start that meets the latency objective.
-    :param latest_start_at: latest start that is still useful to the caller.
-    :param avoid: names of upstreams that the request was sent to before.
-    :param pass_count: minimum number of engine passes, 0 if unknown.
-    :param deadline: when the caller stops waiting for the complete answer.
-    :param traits: shared parts of the prompt, as traits of the crash guard.
-    :param send_by: set with the slot; end of the permit for it.
-    """
-
-    service: str
-    urgency: int
-    target_start_at: float
-    latest_start_at: float
-    avoid: frozenset[str]
-    pass_count: float = 0
-    deadline: float = math.inf
-    traits: tuple[str, ...] = ()
-    send_by: float = math.inf
-
-    def max_pass_s(self, now: float) -> float:
-        """Compute the longest pass time that still meets the deadline.
-
-        :returns: seconds, infinite if the number of passes is unknown.
-        """
-        return (
-            (self.deadline - now) / self.pass_count
-            if self.pass_count
-            else math.inf
-        )
-
-    def sort_key(self, now: float) -> tuple[int, bool, float]:
-        """Return the queue position; the lowest key is served first.
-
-        :returns: urgency, whether the target is missed, and the time to
-            start by.
-        """
-        is_late = now > self.target_start_at
-        return (
-            self.urgency,
-            is_late,
-            self.latest_start_at if is_late else self.target_start_at,
-        )
-
-    def deadline_key(self) -> tuple[int, bool, float]:
-        """Return the queue position for limited upstreams.
-
-        :returns: urgency, False, and the latest useful start.
-        """
-        return (self.urgency, False, self.latest_start_at)
+# A queued request is refused when the predicted wait exceeds the time it has left
+# by this factor: predictions vary with the requests of other entries.
+QUEUED_WAIT_MARGIN = 1.25
 
 
 @dataclass(slots=True)
@@ -89,6 +46,8 @@
     :param limit: requests per second that the upstreams take from all entries
         together, infinite unless all are limited.
     :param others: requests that wait at the other entries.
+    :param fleet: predicts waits from the requests of all entries.
+    :param starts: starts since one was reserved.
     """
 
     waiters: list[Waiter] = field(default_factory=list)
@@ -96,6 +55,8 @@
     last_start_at: float = 0
     limit: float = math.inf
     others: int = 0
+    fleet: FleetQueue = field(default_factory=make_fleet_queue)
+    starts: int = 0
 
     @property
     def is_limited(self) -> bool:
@@ -128,15 +89,44 @@
 
         :returns: a new list, next request first.
         """
-        return sorted(
+        waiters = sorted(
             self.waiters, key=lambda waiter: self.position(waiter, now)
         )
+        if self.is_limited or not self.is_reserved:
+            return waiters
+        first = min(waiter.urgency for waiter in waiters)
+        reserved = min(
+            (waiter for waiter in waiters if waiter.urgency != first),
+            key=lambda waiter: waiter.target_start_at,
+        )
+        waiters.sort(key=lambda waiter: waiter is not reserved)
+        return waiters
+
+    @property
+    def is_reserved(self) -> bool:
+        """Check whether the next start is for a less urgent request.
+
+        :returns: False if all are equally urgent.
+        """
+        if (self.starts + 1) * RESERVED_SHARE < 1:
+            return False
+        return len({waiter.urgency for waiter in self.waiters}) > 1
+
+    def backlogs(self, now: float) -> tuple[Backlog, ...]:
+        """Sum up the waiting requests for the other entries.
+
+        :returns: the sums by rank.
+        """
+        return summarize(
+            (waiter.rank(now), waiter.work) for waiter in self.waiters
+        )
 
     def record_start(self, waiter: Waiter, now: float) -> None:
         """Remove a request that got a slot and update the start interval.
 
         Waits for permits tell nothing of the wait for slots.
         """
+        self.starts = 0 if self.is_reserved else self.starts + 1
         self.waiters.remove(waiter)
         if self.waiters and waiter.send_by == math.inf:
             interval_s = min(MAX_START_INTERVAL_S, now - self.last_start_at)
@@ -158,8 +148,22 @@
         )
         if self.is_limited:
             return (ahead + self.others) / self.limit
+        if self.fleet.work_per_s > 0:
+            return self.fleet_wait_s(waiter, now)
         return (ahead + 1) * self.start_interval_s
 
+    def fleet_wait_s(self, waiter: Waiter, now: float) -> float:
+        """Predict the wait of a new request from those of all entries.
+
+        :returns: seconds.
+        """
+        position = self.position(waiter, now)
+        ahead = make_work_ahead(self.fleet)
+        for queued in self.waiters:
+            if self.position(queued, now) <= position:
+                ahead.add(queued.rank(now), queued.urgency, queued.work)
+        return ahead.wait_s(waiter.rank(now), waiter.urgency)
+
     def drain_s(self) -> float:
         """Predict the time until the waiting requests are served.
 
@@ -167,6 +171,10 @@
         """
         if self.is_limited:
             return (len(self.waiters) + self.others + 1) / self.limit
+        if self.fleet.work_per_s > 0:
+            work = sum(waiter.work for waiter in self.waiters)
+            work += sum(backlog.work for backlog in self.fleet.others)
+            return work / self.fleet.work_per_s
         return len(self.waiters) * self.start_interval_s
 
     def cannot_start_in_time(self, waiter: Waiter, now: float) -> bool:
@@ -177,21 +185,46 @@
         left_s = waiter.latest_start_at - now
         if self.is_limited:
             left_s *= MAX_LIMITED_WAIT
+        elif self.fleet.has_much_room:
+            return False
         return self.wait_s(waiter, now) > left_s
 
     def too_late(self, now: float) -> list[Waiter]:
-        """List the waiting requests that limited upstreams take too late.
+        """List the waiting requests that would start too late.
 
         :returns: those whose latest useful start comes before their turn.
         """
         if not self.is_limited:
-            return []
+            return self.too_late_for_slots(now)
         return [
             waiter
             for ahead, waiter in enumerate(self.ordered(now))
             if now + ahead / self.limit > waiter.latest_start_at
         ]
 
+    def too_late_for_slots(self, now: float) -> list[Waiter]:
+        """List the waiting requests that would get a slot too late.
+
+        :returns: those whose predicted start is too late by a margin.
+        """
+        fleet = self.fleet
+        if fleet.work_per_s <= 0 or fleet.has_much_room:
+            return []
+        totals = {backlog.rank: backlog.work for backlog in self.backlogs(now)}
+        late = []
+        ahead = make_work_ahead(fleet)
+        waiters = sorted(self.waiters, key=lambda each: each.sort_key(now))
+        for waiter in waiters:
+            rank = waiter.rank(now)
+            share = ahead.by_rank.get(rank, 0) / totals[rank]
+            wait_s = ahead.wait_s(rank, waiter.urgency, share)
+            left_s = waiter.latest_start_at - now
+            if wait_s > left_s * QUEUED_WAIT_MARGIN:
+                late.append(waiter)
+            else:
+                ahead.add(rank, waiter.urgency, waiter.work)
+        return late
+
 
 def make_wait_queue() -> WaitQueue:
     """Create an empty queue.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -149,6 +149,7 @@
         )
         dispatcher.on_load_change = self.load_gossip.load_changed.set
         self.load_gossip.read_table_versions = self.tables.versions
+        self.load_gossip.read_backlogs = dispatcher.backlogs
         self.load_gossip.read_confirmations = self.tables.confirmations
         self.load_gossip.on_tables = self.handle_peer_tables
         self.tables.on_confirmed = self.load_gossip.load_changed.set
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
@@ -2,6 +2,11 @@
 
 from comfreyarch_core.waitqueue import WaitQueue
 
+# Lower bound of the expected wait of a refused caller before it is spread.
+MIN_RETRY_S = 0.2
+# Part of the expected wait over which the returns of refused callers are spread.
+RETRY_SPREAD = 0.5
+
 
 class DispatchError(Exception):
     """Report that a request cannot start in time.
@@ -24,10 +29,23 @@
         self.has_upstreams = has_upstreams
 
 
-def make_late_error(queue: WaitQueue, wait_s: float) -> DispatchError:
+def spread_retry_s(wait_s: float, draw: float) -> float:
+    """Spread the returns of callers that are refused together.
+
+    :param wait_s: expected wait in seconds.
+    :param draw: random number from 0 to 1.
+    :returns: seconds after which to retry.
+    """
+    return max(MIN_RETRY_S, wait_s) * (1 + RETRY_SPREAD * draw)
+
+
+def make_late_error(
+    queue: WaitQueue, wait_s: float, draw: float = 0
+) -> DispatchError:
     """Make the error for a request that cannot start in time.
 
     :param wait_s: expected wait in seconds.
+    :param draw: random number from 0 to 1 that spreads the retries.
     :returns: the error.
     """
     why = (
@@ -40,4 +58,12 @@
             f' per second together, for which {queue.others} requests wait at'
             f' other entries'
         )
-    return DispatchError(why, wait_s, has_upstreams=True)
+        return DispatchError(why, wait_s, has_upstreams=True)
+    fleet = queue.fleet
+    elsewhere = sum(backlog.count for backlog in fleet.others)
+    why = (
+        f'{why}: {fleet.free:.0f} of {fleet.slots} slots are free and'
+        f' {elsewhere} requests wait at other entries'
+    )
+    retry_after_s = spread_retry_s(wait_s, draw)
+    return DispatchError(why, retry_after_s, has_upstreams=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -6,15 +6,22 @@
 import gevent
 from gevent.event import AsyncResult
 
+from comfreyarch_core.fleetqueue import Backlog
 from comfreyarch_core.permits import SendDemand
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.upstreamselection import (
     NO_UPSTREAMS,
     UpstreamSelector,
     UpstreamView,
+    count_slots,
+)
+from comfreyarch_core.waiter import Waiter
+from comfreyarch_core.waitqueue import WaitQueue, make_wait_queue
+from comfreyarch_daemon.dispatcherrors import (
+    DispatchError,
+    make_late_error,
+    spread_retry_s,
 )
-from comfreyarch_core.waitqueue import Waiter, WaitQueue, make_wait_queue
-from comfreyarch_daemon.dispatcherrors import DispatchError, make_late_error
 from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -82,7 +89,7 @@
         """
         now = boot_time()
         queue = self.queues.setdefault(waiter.service, make_wait_queue())
-        if not queue.waiters:
+        if not queue.waiters and not self.yields(queue, waiter, now):
             view = self.take_free_slot(waiter, now)
             if view is not None:
                 self.request_permits(waiter.service, FUTURE_DEMAND, now)
@@ -95,12 +102,15 @@
             )
         self.check_hold(waiter, now)
         self.update_limit(waiter.service, queue, now)
+        self.update_fleet(waiter.service, queue, now)
         # Waits for slots tell nothing of the wait for a permit.
         needs_permit = not queue.is_limited and math.isfinite(
             self.selector.service_limit(waiter.service, now, waiter.avoid)
         )
         if not needs_permit and queue.cannot_start_in_time(waiter, now):
-            raise make_late_error(queue, queue.wait_s(waiter, now))
+            raise make_late_error(
+                queue, queue.wait_s(waiter, now), self.selector.source.random()
+            )
         return self.wait_for_slot(waiter, queue)
 
     def wait_for_slot(self, waiter: Waiter, queue: WaitQueue) -> UpstreamView:
@@ -113,6 +123,7 @@
         result = AsyncResult()
         self.results[waiter] = result
         queue.join(waiter)
+        self.on_load_change()
         self.request_queued(queue, boot_time())
         try:
             view: UpstreamView | None = result.get(
@@ -134,9 +145,45 @@
                 f'no slot became free in time; {len(queue.waiters)} requests'
                 f' are queued'
             )
-            raise DispatchError(why, queue.drain_s(), has_upstreams=True)
+            retry_after_s = queue.drain_s()
+            if not queue.is_limited:
+                draw = self.selector.source.random()
+                retry_after_s = spread_retry_s(retry_after_s, draw)
+            raise DispatchError(why, retry_after_s, has_upstreams=True)
         return view
 
+    def yields(self, queue: WaitQueue, waiter: Waiter, now: float) -> bool:
+        """Decide whether a request leaves the free slots to other entries.
+
+        :returns: True if more urgent requests wait there for all of them.
+        """
+        fleet = queue.fleet
+        fleet.others = self.selector.fleet_load.backlogs(waiter.service)
+        if queue.is_limited or not fleet.others:
+            return False
+        self.update_fleet(waiter.service, queue, now)
+        return fleet.yields(waiter.rank(now), now)
+
+    def update_fleet(self, service: str, queue: WaitQueue, now: float) -> bool:
+        """Update what the waits for slots are predicted from.
+
+        :returns: False if the last count of the slots is still used.
+        """
+        queue.fleet.others = self.selector.fleet_load.backlogs(service)
+        if not queue.fleet.needs_count(now):
+            return False
+        slots, free = count_slots(self.selector, service, now)
+        queue.fleet.record_slots(slots, free, now)
+        return True
+
+    def record_answer(
+        self, view: UpstreamView, duration_s: float, pass_count: float
+    ) -> None:
+        """Record how long a complete answer occupied a slot."""
+        queue = self.queues.get(view.entry.service)
+        if queue is not None:
+            queue.fleet.record_answer(duration_s, pass_count or 1)
+
     def take_free_slot(
         self,
         waiter: Waiter,
@@ -213,20 +260,27 @@
         """Assign free slots to waiting requests in the order of the queue."""
         now = boot_time()
         for service, queue in self.queues.items():
+            if not queue.waiters:
+                continue
             self.update_limit(service, queue, now)
+            is_counted = self.update_fleet(service, queue, now)
             self.serve_queue(queue, now)
-            self.refuse_late(queue, now)
+            if is_counted or queue.is_limited:
+                self.refuse_late(queue, now)
             self.request_queued(queue, now)
 
     def serve_queue(self, queue: WaitQueue, now: float) -> None:
         """Assign free slots to the requests of one queue."""
         for waiter in queue.ordered(now):
+            if not queue.is_reserved and self.yields(queue, waiter, now):
+                break
             view = self.take_free_slot(waiter, now)
             # Not even a request that may run at any upstream got a slot.
             if view is None and waiter.avoid == NO_UPSTREAMS:
                 break
             if view is not None:
                 queue.record_start(waiter, now)
+                queue.fleet.record_start()
                 self.results.pop(waiter).set(view)
 
     def update_limit(self, service: str, queue: WaitQueue, now: float) -> None:
@@ -236,9 +290,11 @@
             queue.others = self.selector.fleet_load.waiting(service)
 
     def refuse_late(self, queue: WaitQueue, now: float) -> None:
-        """Refuse the requests that limited upstreams take too late."""
+        """Refuse the requests that would start too late."""
         for waiter in queue.too_late(now):
-            self.refuse(waiter, make_late_error(queue, queue.drain_s()))
+            draw = self.selector.source.random()
+            error = make_late_error(queue, queue.drain_s(), draw)
+            self.refuse(waiter, error)
 
     def request_queued(self, queue: WaitQueue, now: float) -> None:
         """Request permits for the requests of a queue."""
@@ -279,6 +335,18 @@
         }
         return in_flight, waiting
 
+    def backlogs(self) -> dict[str, tuple[Backlog, ...]]:
+        """Return what waits at this entry, which is sent to the others.
+
+        :returns: sums by rank, by service.
+        """
+        now = boot_time()
+        return {
+            service: queue.backlogs(now)
+            for service, queue in self.queues.items()
+            if queue.waiters
+        }
+
 
 def ignore_change() -> None:
     """Do nothing; the default for ``Dispatcher.on_load_change``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -3,6 +3,7 @@
 The messages also carry what an entry knows of the store's tables.
 """
 
+import math
 import random
 from collections.abc import Callable
 from typing import Any, Protocol
@@ -12,6 +13,7 @@
 from gevent.event import Event
 
 from comfreyarch_core.fleetload import PEER_TIMEOUT_S, EntryLoad, FleetLoad
+from comfreyarch_core.fleetqueue import Backlog
 from comfreyarch_core.tablefreshness import Confirmation
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
@@ -22,6 +24,8 @@
 INCARNATION_BITS = 32
 # Position of the confirmations in a message; earlier releases send none.
 CONFIRMATIONS_INDEX = 7
+# Position of the backlogs in a message; earlier releases send and read none.
+BACKLOGS_INDEX = 8
 # Minimum time between two loads sent; changes are otherwise sent at once.
 MIN_SEND_GAP_S = 0.02
 # Limit on datagrams sent by an entry; the time between two loads grows with
@@ -54,6 +58,7 @@
     :param last_received_at: time of the last datagram of each reachable peer.
     :param load_changed: set to send the load at once.
     :param read_table_versions: returns the newest known row version by table.
+    :param read_backlogs: returns the waiting requests by service and rank.
     :param read_confirmations: returns this entry's confirmations by table.
     :param on_tables: called with the load and the address of a peer, for what it
         knows of the tables.
@@ -73,6 +78,7 @@
         'on_peer_load',
         'on_tables',
         'peers',
+        'read_backlogs',
         'read_confirmations',
         'read_table_versions',
         'sequence',
@@ -101,6 +107,7 @@
         self.load_counts = load_counts
         self.on_peer_load = on_peer_load
         self.read_table_versions: Callable[[], dict[str, int]] = dict
+        self.read_backlogs: Callable[[], dict[str, tuple[Backlog, ...]]] = dict
         self.read_confirmations: Callable[[], dict[str, Confirmation]] = dict
         self.on_tables: Callable[[EntryLoad, str], None] = ignore
         self.log = log
@@ -192,6 +199,7 @@
             waiting,
             self.read_table_versions(),
             self.read_confirmations(),
+            self.read_backlogs(),
         )
         encoded = cbor2.dumps(encode_load(load))
         includes_lost = now - self.lost_sent_at >= LOST_HEARTBEAT_INTERVAL_S
@@ -207,7 +215,7 @@
 
     :returns: the message.
     """
-    return [
+    message = [
         LOAD,
         load.node,
         load.incarnation,
@@ -220,6 +228,17 @@
             for name, confirmation in load.confirmations.items()
         },
     ]
+    if load.backlogs:
+        message.append(
+            {
+                service: [
+                    [backlog.rank, backlog.count, backlog.work]
+                    for backlog in backlogs
+                ]
+                for service, backlogs in load.backlogs.items()
+            }
+        )
+    return message
 
 
 def decode_load(message: list[Any]) -> EntryLoad:
@@ -242,9 +261,37 @@
         check_counts(waiting),
         check_counts(tables),
         decode_confirmations(message),
+        decode_backlogs(message),
     )
 
 
+def decode_backlogs(message: list[Any]) -> dict[str, tuple[Backlog, ...]]:
+    """Decode the waiting requests in the message with an entry's load.
+
+    :returns: sums by service, none if no request waits.
+    :raises ValueError: if they are malformed.
+    """
+    if len(message) <= BACKLOGS_INDEX:
+        return {}
+    return {
+        str(service): tuple(decode_backlog(fields) for fields in backlogs)
+        for service, backlogs in message[BACKLOGS_INDEX].items()
+    }
+
+
+def decode_backlog(fields: list[Any]) -> Backlog:
+    """Decode the waiting requests of one rank.
+
+    :returns: the sums.
+    :raises ValueError: if they are malformed.
+    """
+    rank, count, work = fields
+    is_whole = isinstance(rank, int) and isinstance(count, int)
+    if not is_whole or not 0 <= work < math.inf or count < 0:
+        raise ValueError('entry load has an invalid backlog')
+    return Backlog(rank, count, float(work))
+
+
 def decode_confirmations(message: list[Any]) -> dict[str, Confirmation]:
     """Decode the confirmations in the message with an entry's load.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -13,7 +13,7 @@
 )
 from comfreyarch_core.upstreamlimits import UNKNOWN_VERSION
 from comfreyarch_core.upstreamselection import UpstreamView
-from comfreyarch_core.waitqueue import Waiter
+from comfreyarch_core.waiter import Waiter
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.dispatcherrors import DispatchError
 from comfreyarch_daemon.forwarding import (
@@ -98,7 +98,14 @@
 class Exchange:
     """Represent one send of a request to one upstream, and its answer."""
 
-    __slots__ = ('answer', 'connection', 'head', 'limit_version', 'view')
+    __slots__ = (
+        'answer',
+        'connection',
+        'head',
+        'limit_version',
+        'sent_at',
+        'view',
+    )
 
     def __init__(
         self,
@@ -113,6 +120,7 @@
         self.view = view
         self.connection = connection
         self.limit_version = limit_version
+        self.sent_at = boot_time()
         self.answer: Answer | None = None
         self.head: AnswerHead | None = None
 
@@ -194,6 +202,11 @@
             exchange.connection.keep_alive_s = exchange.head.keep_alive_s
         self.forwarder.selector.succeeded(exchange.upstream)
         self.crashes.record_answer()
+        self.forwarder.dispatcher.record_answer(
+            exchange.view,
+            boot_time() - exchange.sent_at,
+            self.call.pass_count,
+        )
         self.forwarder.pool.put_back(exchange.upstream, exchange.connection)
         self.forwarder.dispatcher.release(exchange.view)
 
--- a/tests/test_backlog_after_outage.py
+++ b/tests/test_backlog_after_outage.py
@@ -9,7 +9,8 @@
 import heapq
 import random
 
-from comfreyarch_core.waitqueue import Waiter, make_wait_queue
+from comfreyarch_core.waiter import Waiter
+from comfreyarch_core.waitqueue import make_wait_queue
 
 SLOTS = 48
 SERVICE_S = 1.3
--- a/tests/test_one_slow_rank.py
+++ b/tests/test_one_slow_rank.py
@@ -19,7 +19,7 @@
     HEALTH_TTL_S,
     make_upstream_selector,
 )
-from comfreyarch_core.waitqueue import Waiter
+from comfreyarch_core.waiter import Waiter
 
 RANKS, SLOTS = 8, 6
 EXPERTS, CAPACITY = 64, 11
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -6,7 +6,8 @@
 from entry_fleet import EntryFleet, most_in_window
 
 from comfreyarch_core.permits import PERMIT_TTL_S
-from comfreyarch_core.waitqueue import Waiter, make_wait_queue
+from comfreyarch_core.waiter import Waiter
+from comfreyarch_core.waitqueue import make_wait_queue
 from comfreyarch_daemon.forwarding import Forwarder
 from comfreyarch_daemon.upstreamcalls import boot_time
 
