--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerlookup.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/peerlookup.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.lock import BoundedSemaphore
 
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_daemon.eventlog import EventLog
@@ -35,11 +36,13 @@
     :param read_state: returns the last state of the local engine, None before
         the first.
     :param lookups: number of successful lookups so far.
+    :param lock: held during a call; the directory has one connection.
     """
 
     __slots__ = (
         'addresses',
         'directory',
+        'lock',
         'log',
         'lookups',
         'own_address',
@@ -61,6 +64,7 @@
         self.read_state = read_state
         self.log = log
         self.lookups = 0
+        self.lock = BoundedSemaphore(1)
 
     def run(self) -> None:
         """Register this sidecar, and look up the others of its group.
@@ -108,7 +112,8 @@
 
         :raises StoreCallFailed: if the table cannot be written.
         """
-        self.directory.join(make_row_name(own_state), self.own_address)
+        with self.lock:
+            self.directory.join(make_row_name(own_state), self.own_address)
 
     def wait_for_engine(self) -> EngineState:
         """Wait until the engine reports its group.
@@ -143,7 +148,8 @@
 
         :raises StoreCallFailed: if the table cannot be read.
         """
-        members = self.directory.members()
+        with self.lock:
+            members = self.directory.members()
         self.lookups += 1
         for rank in range(own_state.size):
             address = members.get(f'{own_state.group}/{rank}')
--- a/tests/test_group_recovery.py
+++ b/tests/test_group_recovery.py
@@ -2,9 +2,12 @@
 
 import random
 
+import gevent
 import pytest
+from direct_world import RecordingLog
 from group_world import GroupWorld, address_of
 
+from comfreyarch_daemon.peerlookup import PeerLookup
 from comfreyarch_daemon.rankdatagrams import LEAD, STATE
 
 SIZE = 72
@@ -136,3 +139,52 @@
     """Encode the fields of an engine's state."""
     state = world.read_state(rank)
     return [getattr(state, name) for name in state.__dataclass_fields__]
+
+
+class SlowDirectory:
+    """Stand in for the table of sidecars over one connection."""
+
+    def __init__(self):
+        self.is_busy = False
+        self.calls = 0
+
+    def call(self):
+        """Take a while, in which no other call may begin."""
+        assert not self.is_busy
+        self.is_busy = True
+        gevent.sleep(0.01)
+        self.is_busy = False
+        self.calls += 1
+
+    def join(self, _node, _address):
+        """Write a row."""
+        self.call()
+
+    def members(self):
+        """Read the rows."""
+        self.call()
+        return {'g/1': address_of(1)}
+
+
+# Fails if a new leader's lookup uses the connection on which its sidecar registers:
+# the answers of both calls are then mixed up.
+def test_a_lookup_waits_for_the_registration(monkeypatch):
+    own_state = GroupWorld(2, monkeypatch).read_state(0)
+    monkeypatch.undo()
+    directory = SlowDirectory()
+    addresses = {0: address_of(0)}
+    lookup = PeerLookup(
+        directory, address_of(0), addresses, lambda: own_state, RecordingLog()
+    )
+    found = []
+    # Tests on a virtual clock leave the loop's time behind.
+    gevent.get_hub().loop.update_now()
+    calls = [
+        gevent.spawn(lookup.register, own_state),
+        gevent.spawn(
+            lookup.look_up_for_term, own_state, lambda: found.append(1)
+        ),
+    ]
+    gevent.joinall(calls, timeout=5, raise_error=True)
+    assert directory.calls == 2
+    assert found == [1]
