Count steps ahead with the pass expected after a shift; follow a leader heard during a claim

A switch was placed too many steps ahead after a shift, as steps were counted with the smoothed pass time of before. While a few ranks leave orders unanswered the distance follows their share. A rank that hears a leader while it reads the leader's row no longer claims its place: on both new deployments each start had two leaders within 0.2 s.

--- a/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
@@ -101,13 +101,21 @@
             self.even_pass_s = sample_s
         self.even_pass_s += EVEN_PASS_SMOOTHING * (sample_s - self.even_pass_s)
 
+    def expected_pass_s(self, skew: float) -> float:
+        """Return the present pass time, which follows a shift at once.
+
+        :param skew: peak over mean load of the map in use.
+        :returns: seconds, 0 before the first pass.
+        """
+        return max(self.pass_s, self.even_pass_s * work_factor(skew))
+
     def predict_pass(self, skew: float, size: int) -> float:
         """Predict the pass time with all slots in use.
 
         :param skew: peak over mean load of the map in use.
         :returns: seconds, 0 before the first pass.
         """
-        current_s = max(self.pass_s, self.even_pass_s * work_factor(skew))
+        current_s = self.expected_pass_s(skew)
         used = min(1, self.used_slot_share(size))
         growth = (1 + FULL_LOAD_GROWTH) / (1 + FULL_LOAD_GROWTH * used)
         return current_s * growth
--- a/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/maporders.py
@@ -1,5 +1,7 @@
 """Select a map leader's orders and their recipients from engine states."""
 
+import math
+
 from comfreyarch_core.enginestate import (
     DisarmMap,
     EngineOrder,
@@ -24,6 +26,9 @@
 PREPARE_RESEND_PER_RANK_S = 0.001
 # The same interval for a rank that reports its copy.
 COPYING_RESEND_S = 1.0
+# Number of ranks from which the share of unanswered orders is estimated from the
+# ranks that report some. In a smaller group it varies too much by chance.
+MIN_RANKS_TO_ESTIMATE = 32
 # Maximum distance, in steps, from the last step begun to the held step.
 MAX_STEPS_AHEAD = 40
 
@@ -49,11 +54,14 @@
     """Select the distance from the last step begun to the step to hold.
 
     :param steps: distance if all orders are answered.
-    :param steps_unanswered: distance if an order was left unanswered recently.
+    :param steps_unanswered: distance if ranks leave orders unanswered.
     :returns: at least 1.
     """
-    if any(state.unanswered for state in states.values()):
-        steps = max(steps, steps_unanswered)
+    affected = sum(bool(state.unanswered) for state in states.values())
+    if affected:
+        is_large = len(states) >= MIN_RANKS_TO_ESTIMATE
+        share = affected / len(states) if is_large else 1
+        steps += math.ceil(share * max(0, steps_unanswered - steps))
     return max(1, min(MAX_STEPS_AHEAD, steps))
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -509,20 +509,23 @@
             self.compute_steps_ahead(
                 SWITCH_DELAY_S
                 if self.schedule.demand is None
-                else LARGE_GROUP_SWITCH_DELAY_S
+                else LARGE_GROUP_SWITCH_DELAY_S,
+                planned.before,
             ),
-            self.compute_steps_ahead(SWITCH_DELAY_UNANSWERED_S),
+            self.compute_steps_ahead(SWITCH_DELAY_UNANSWERED_S, planned.before),
         )
         self.apply_outcomes(self.control.handle(change, boot_time()))
 
-    def compute_steps_ahead(self, delay_s: float) -> int:
+    def compute_steps_ahead(self, delay_s: float, skew: float = 1) -> int:
         """Return the number of steps until a change takes effect.
 
         :param delay_s: time in which a small group answers all orders.
+        :param skew: peak over mean load of the map in use.
         :returns: enough steps for the orders to reach all ranks.
         """
         delay_s += SWITCH_DELAY_PER_RANK_S * self.control.size
-        return math.ceil(delay_s / max(MIN_PASS_S, self.pressure.pass_s))
+        pass_s = self.pressure.expected_pass_s(skew)
+        return math.ceil(delay_s / max(MIN_PASS_S, pass_s))
 
     def is_still_leader(self) -> bool:
         """Check in the store that this term has not ended.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -417,7 +417,8 @@
 
     def claim_leadership(self, own_state: EngineState) -> None:
         """Try to become the leader, and start leading on success."""
-        self.leader_view.leader_seen_at = boot_time()
+        sought_at = boot_time()
+        self.leader_view.leader_seen_at = sought_at
         self.leader_view.contacted = None
         self.leader_view.has_sought_leader = True
         try:
@@ -426,6 +427,9 @@
                 # No term is needed for a service without experts.
                 return
             former = self.leadership.read(own_state.group)
+            if self.leader_view.leader_seen_at > sought_at:
+                # A leader announced itself while the row was read.
+                return
             fence = self.try_claim(former, own_state)
         except StoreCallFailed as error:
             self.log.write('claim_failed', why=str(error))
--- a/tests/test_rank_node.py
+++ b/tests/test_rank_node.py
@@ -109,6 +109,23 @@
     assert node.leader.pressure.limits == NEW_RULES.service_limits
 
 
+# Fails if a leader that announces itself while a rank reads the row is replaced by
+# that rank at once.
+def test_a_leader_heard_during_the_read_is_not_replaced(monkeypatch, clock):
+    store = FakeStore(RULES)
+    node = make_node(monkeypatch, store)
+
+    def read(_group):
+        clock[0] += 0.1
+        node.follow_leader(1, '127.0.0.2:9')
+        return LeaderRow(1)
+
+    monkeypatch.setattr(store, 'read', read)
+    node.claim_leadership(make_state())
+    assert not store.claims
+    assert node.leader is None
+
+
 # Fails if a sidecar begins a term with rules that it read long ago.
 def test_a_new_term_begins_with_current_rules(monkeypatch, clock):
     store = FakeStore(RULES)
