Keep resumed streams queued until their latest start

Cause: the prediction over all entries also refused streams that were resumed after a break, which cut answers in progress before their latest start. Change: a waiter that resumes an answer is refused only at its latest start. Result: tests/test_fleet_queue.py passes, with and without limited upstreams.

--- a/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
@@ -17,6 +17,8 @@
     :param pass_count: minimum number of engine passes, 0 if unknown.
     :param deadline: when the caller stops waiting for the complete answer.
     :param traits: shared parts of the prompt, as traits of the crash guard.
+    :param is_resumed: whether the caller already has part of the answer; then
+        the request is not refused before its latest start.
     :param send_by: set with the slot; end of the permit for it.
     """
 
@@ -28,6 +30,7 @@
     pass_count: float = 0
     deadline: float = math.inf
     traits: tuple[str, ...] = ()
+    is_resumed: bool = False
     send_by: float = math.inf
 
     def max_pass_s(self, now: float) -> float:
--- a/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
@@ -183,6 +183,8 @@
         :returns: True if it cannot start before its latest useful start.
         """
         left_s = waiter.latest_start_at - now
+        if waiter.is_resumed:
+            return left_s <= 0
         if self.is_limited:
             left_s *= MAX_LIMITED_WAIT
         elif self.fleet.has_much_room:
@@ -200,6 +202,7 @@
             waiter
             for ahead, waiter in enumerate(self.ordered(now))
             if now + ahead / self.limit > waiter.latest_start_at
+            and not waiter.is_resumed
         ]
 
     def too_late_for_slots(self, now: float) -> list[Waiter]:
@@ -219,7 +222,8 @@
             share = ahead.by_rank.get(rank, 0) / totals[rank]
             wait_s = ahead.wait_s(rank, waiter.urgency, share)
             left_s = waiter.latest_start_at - now
-            if wait_s > left_s * QUEUED_WAIT_MARGIN:
+            is_late = wait_s > left_s * QUEUED_WAIT_MARGIN
+            if is_late and not waiter.is_resumed:
                 late.append(waiter)
             else:
                 ahead.add(rank, waiter.urgency, waiter.work)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -333,6 +333,7 @@
             call.pass_count,
             call.deadline,
             call.part_traits(),
+            is_resumed=self.has_started,
         )
         try:
             view = self.forwarder.dispatcher.acquire_slot(waiter)
--- a/tests/test_fleet_queue.py
+++ b/tests/test_fleet_queue.py
@@ -1,5 +1,7 @@
 """Test the order and the refusals over the queues of all entries."""
 
+import math
+
 import pytest
 
 from comfreyarch_core.fleetload import EntryLoad, make_fleet_load
@@ -82,6 +84,24 @@
     assert waiters[0] not in late
 
 
+# Fails if an answer in progress is cut because of a predicted wait.
+@pytest.mark.parametrize('limit', [math.inf, 1])
+def test_a_resumed_stream_is_not_refused_before_its_latest_start(limit):
+    queue = make_busy_queue(Backlog(0, 9000, 9000 * PASSES))
+    queue.limit = limit
+    queue.others = 50
+    for _ in range(20):
+        queue.join(make_waiter(0, -1))
+    resumed = make_waiter(0, -1)
+    resumed.is_resumed = True
+    assert not queue.cannot_start_in_time(resumed, 0)
+    assert queue.cannot_start_in_time(resumed, 2)
+    queue.join(resumed)
+    late = queue.too_late(1.9)
+    assert late
+    assert resumed not in late
+
+
 def test_no_request_is_refused_while_half_of_the_slots_are_free():
     queue = make_busy_queue(Backlog(0, 9000, 9000 * PASSES), free=SLOTS / 2)
     assert not queue.cannot_start_in_time(make_waiter(0, -1), 0)
