Refuse at once requests that cannot end before their deadline

Change: entries measure the passes of a group by the gaps between events of their own streams, and otherwise use the reported pass times. A request whose passes do not end at the shortest pass time of the last 0.5 s is refused at once, also from the queue. Requests are placed by the measured pass time where it is known. The checks before a wait move from Dispatcher to placementchecks. Result: tests/test_unending_requests.py passes; not measured under load.

--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -25,6 +25,7 @@
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
 from comfreyarch_core.slowranks import SLOW_PACE
+from comfreyarch_core.streampace import StreamPace, make_stream_pace
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.zoneevacuation import (
     ZoneEvacuations,
@@ -161,6 +162,7 @@
     :param services: upstreams that neither leave nor are in an evacuated zone,
         by service.
     :param pass_times: last reported pass time, by group.
+    :param pace: shortest recent pass time, by group.
     """
 
     source: random.Random
@@ -178,6 +180,7 @@
     services: dict[str, list[UpstreamView]] = field(default_factory=dict)
     circuit_breakers: dict[str, CircuitBreaker] = field(default_factory=dict)
     pass_times: dict[str, PassTime] = field(default_factory=dict)
+    pace: StreamPace = field(default_factory=make_stream_pace)
 
     def update_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
         """Replace the list of upstreams; state of remaining ones is kept."""
@@ -359,7 +362,10 @@
             for view in self.services.get(service, ())
             if view.entry.name not in avoid
             and self.has_free_slot(view, now)
-            and self.pass_time_s(view, now) <= max_pass_s
+            and (
+                max_pass_s == math.inf
+                or present_pass_s(self, view, now) <= max_pass_s
+            )
         ]
         ready = leave_out_slow(ready, self.services.get(service, ()), now)
         if not ready:
@@ -466,6 +472,7 @@
         """
         if health.pass_s > 0:
             self.pass_times[health.group] = PassTime(health.pass_s, now)
+            self.pace.record_report(health.group, health.pass_s, now)
         for view in self.views.values():
             if view.entry.address != address:
                 continue
@@ -573,6 +580,52 @@
     return slots, free
 
 
+def present_pass_s(
+    selector: UpstreamSelector, view: UpstreamView, now: float
+) -> float:
+    """Return the pass time at an upstream that a request is placed by.
+
+    :returns: seconds as measured by streams, else as reported, else 0.
+    """
+    if view.health is None:
+        return 0
+    measured_s = selector.pace.measured_s(view.health.group, now)
+    return measured_s or selector.pass_time_s(view, now)
+
+
+def shortest_pass_s(
+    selector: UpstreamSelector,
+    service: str,
+    avoid: frozenset[str],
+    now: float,
+) -> float:
+    """Return the shortest recent pass at the upstreams of a service.
+
+    :param avoid: names of upstreams that are left out.
+    :returns: seconds, 0 if that of an upstream is unknown or there is none.
+    """
+    views = [
+        view
+        for view in selector.services.get(service, ())
+        if view.entry.name not in avoid
+    ]
+    groups = {view.health.group for view in views if view.health is not None}
+    if any(view.health is None for view in views):
+        return 0
+    return min(
+        (selector.pace.shortest_pass_s(group, now) for group in groups),
+        default=0,
+    )
+
+
+def record_gap(
+    selector: UpstreamSelector, view: UpstreamView, gap_s: float, now: float
+) -> None:
+    """Record the time between two events of a stream of an upstream."""
+    if view.health is not None:
+        selector.pace.record_gap(view.health.group, gap_s, now)
+
+
 def make_upstream_selector(
     availability_zone: str, seed: int
 ) -> UpstreamSelector:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
@@ -1,5 +1,8 @@
 """Define why a dispatcher assigns no slot to a request."""
 
+import math
+
+from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import WaitQueue
 
 # Lower bound of the expected wait of a refused caller before it is spread.
@@ -67,3 +70,16 @@
     )
     retry_after_s = spread_retry_s(wait_s, draw)
     return DispatchError(why, retry_after_s, has_upstreams=True)
+
+
+def make_slow_error(waiter: Waiter, pass_s: float, now: float) -> DispatchError:
+    """Make the error for a request that cannot end before its deadline.
+
+    :param pass_s: shortest recent pass time of the service's groups.
+    :returns: the error; its time to retry is the longest that is allowed.
+    """
+    why = (
+        f'{waiter.pass_count:.0f} passes of at least {pass_s:.3f} s do not end'
+        f' in the {waiter.deadline - now:.2f} s before the deadline'
+    )
+    return DispatchError(why, math.inf, has_upstreams=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -14,7 +14,6 @@
     UpstreamSelector,
     UpstreamView,
     count_slots,
-    next_send_at,
 )
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import WaitQueue, make_wait_queue
@@ -23,6 +22,11 @@
     make_late_error,
     spread_retry_s,
 )
+from comfreyarch_daemon.placementchecks import (
+    check_candidates,
+    check_end,
+    check_hold,
+)
 from comfreyarch_daemon.sharedcrashguard import RequestBarred
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -95,11 +99,11 @@
             if view is not None:
                 self.request_permits(waiter.service, FUTURE_DEMAND, now)
                 return view
-        if not self.has_candidates(waiter):
-            raise self.make_unplaceable_error(waiter)
-        self.check_hold(waiter, now)
+        check_candidates(self.selector, waiter)
+        check_hold(self.selector, waiter, now)
         self.update_limit(waiter.service, queue, now)
         self.update_fleet(waiter.service, queue, now)
+        check_end(self.selector, waiter, queue, now)
         # Waits for slots tell nothing of the wait for a permit.
         needs_permit = not queue.is_limited and math.isfinite(
             self.selector.service_limit(waiter.service, now, waiter.avoid)
@@ -207,53 +211,30 @@
         self.on_load_change()
         return view
 
-    def has_candidates(self, waiter: Waiter) -> bool:
-        """Check whether a listed upstream was not tried for a request yet.
-
-        :returns: False if all upstreams of the service were tried.
-        """
-        views = self.selector.services.get(waiter.service, ())
-        return any(view.entry.name not in waiter.avoid for view in views)
-
-    def make_unplaceable_error(self, waiter: Waiter) -> DispatchError:
-        """Make the error for a request that no upstream may run.
-
-        :returns: the error.
-        """
-        why = f'service {waiter.service!r} has no upstream left to try'
-        zones = self.selector.evacuations.zones
-        if zones:
-            why = f'{why}; evacuated zones: {", ".join(sorted(zones))}'
-        return DispatchError(why, 0, has_upstreams=False)
-
     def refuse_unplaceable(self) -> None:
         """Refuse the waiting requests that evacuations leave no upstream."""
         if not self.selector.evacuations.zones:
             return
         for waiter in list(self.results):
-            if not self.has_candidates(waiter):
-                self.refuse(waiter, self.make_unplaceable_error(waiter))
-
-    def check_hold(self, waiter: Waiter, now: float) -> None:
-        """Check that an upstream of the service wants requests in time.
+            try:
+                check_candidates(self.selector, waiter)
+            except DispatchError as error:
+                self.refuse(waiter, error)
 
-        :raises DispatchError: if none does, with the earliest end.
-        """
-        hold_end = next_send_at(self.selector, waiter.service, now)
-        if math.isfinite(hold_end) and hold_end >= waiter.latest_start_at:
-            raise DispatchError(
-                f'all upstreams of service {waiter.service!r} want no request'
-                f' for {hold_end - now:.2f} s',
-                hold_end - now,
-                has_upstreams=True,
-            )
+    def refuse_endless(self, queue: WaitQueue, now: float) -> None:
+        """Refuse the waiting requests that cannot end before their deadline."""
+        for waiter in list(queue.waiters):
+            try:
+                check_end(self.selector, waiter, queue, now)
+            except DispatchError as error:
+                self.refuse(waiter, error)
 
     def refuse_held(self) -> None:
         """Refuse the waiting requests that no upstream wants in time."""
         now = boot_time()
         for waiter in list(self.results):
             try:
-                self.check_hold(waiter, now)
+                check_hold(self.selector, waiter, now)
             except DispatchError as error:
                 self.refuse(waiter, error)
 
@@ -287,6 +268,7 @@
             self.serve_queue(queue, now)
             if is_counted or queue.is_limited:
                 self.refuse_late(queue, now)
+                self.refuse_endless(queue, now)
             self.request_queued(queue, now)
 
     def serve_queue(self, queue: WaitQueue, now: float) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -12,7 +12,7 @@
     make_send_tracker,
 )
 from comfreyarch_core.upstreamlimits import UNKNOWN_VERSION
-from comfreyarch_core.upstreamselection import UpstreamView
+from comfreyarch_core.upstreamselection import UpstreamView, record_gap
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.dispatcherrors import DispatchError
@@ -493,8 +493,8 @@
         while True:
             events = splitter.feed(answer.take())
             if events:
+                record_events(self, exchange, is_first=not has_events)
                 has_events = True
-                self.progress_at = boot_time()
                 self.crashes.record_event()
                 if not self.has_started:
                     self.has_started = True
@@ -657,6 +657,20 @@
         return ForwardingFailed(self.tracker.refusal(kind, bounded_s, why))
 
 
+def record_events(
+    sender: RequestSender, exchange: Exchange, *, is_first: bool
+) -> None:
+    """Record that events arrived, and the time since the last ones.
+
+    :param is_first: whether they are the first ones of this send.
+    """
+    now = boot_time()
+    if not is_first:
+        gap_s = now - sender.progress_at
+        record_gap(sender.forwarder.selector, exchange.view, gap_s, now)
+    sender.progress_at = now
+
+
 def stream_patience_s(route: Route) -> float:
     """Estimate how long the caller of a stream waits for its first event.
 
