Spread the returns of refused callers at the longest time they obey

Cause: callers obey Retry-After only up to a third of the time they have left, and all longer values became the same 0.3 of it, so the callers of one moment returned together. Change: such values are spread over 0.6 to 1 of the bound, or 0.9 to 1 where the wait does not end before the deadline. Result: tests/test_fleet_queue.py and tests/test_direct_entry.py pass; the share of callers that return and are refused again is not measured.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
@@ -5,10 +5,18 @@
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import WaitQueue
 
-# Lower bound of the expected wait of a refused caller before it is spread.
+# Lower bound of the time after which a refused caller should retry.
 MIN_RETRY_S = 0.2
 # Part of the expected wait over which the returns of refused callers are spread.
 RETRY_SPREAD = 0.5
+# Longest time to retry, as a part of the time left to the deadline. Callers
+# obey a longer one only up to a third of that time, so all would return then.
+MAX_RETRY_SHARE = 0.3
+# Part of the longest time from which the returns are spread.
+CAPPED_SPREAD_FROM = 0.6
+# The same if the wait does not end before the deadline: an earlier return would
+# only be refused again.
+UNREACHABLE_SPREAD_FROM = 0.9
 
 
 class DispatchError(Exception):
@@ -42,6 +50,24 @@
     return max(MIN_RETRY_S, wait_s) * (1 + RETRY_SPREAD * draw)
 
 
+def bound_retry_s(retry_s: float, left_s: float, draw: float) -> float:
+    """Bound the time to retry by what callers obey, and spread it there.
+
+    :param retry_s: seconds after which capacity is expected.
+    :param left_s: time left to the deadline.
+    :param draw: random number from 0 to 1.
+    :returns: seconds after which to retry.
+    """
+    longest_s = MAX_RETRY_SHARE * left_s
+    if retry_s <= longest_s:
+        return max(MIN_RETRY_S, retry_s)
+    spread_from = CAPPED_SPREAD_FROM
+    if retry_s > left_s:
+        spread_from = UNREACHABLE_SPREAD_FROM
+    share = spread_from + (1 - spread_from) * draw
+    return max(MIN_RETRY_S, share * longest_s)
+
+
 def make_late_error(
     queue: WaitQueue, wait_s: float, draw: float = 0
 ) -> DispatchError:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -15,7 +15,11 @@
 from comfreyarch_core.upstreamselection import UpstreamView, record_gap
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_daemon.answerparser import Answer
-from comfreyarch_daemon.dispatcherrors import DispatchError
+from comfreyarch_daemon.dispatcherrors import (
+    MIN_RETRY_S,
+    DispatchError,
+    bound_retry_s,
+)
 from comfreyarch_daemon.forwarding import (
     AnswerAborted,
     AnswerPart,
@@ -60,10 +64,6 @@
 MIN_SILENCE_S = 0.7
 # Reason why a failed request is not sent again.
 NO_MORE_SENDS = 'no further send is allowed'
-# Lower bound of the time after which a refused caller should retry.
-MIN_RETRY_AFTER_S = 0.2
-# Upper bound of that time, as a fraction of the time left to the deadline.
-MAX_RETRY_AFTER_FRACTION = 0.3
 # Callers of streams disconnect after a pause, also before the first event.
 # Lower bound of the pause that they are assumed to tolerate.
 MIN_STREAM_PATIENCE_S = 2.0
@@ -633,7 +633,7 @@
         if self.last_error is not None:
             self.final_error = self.last_error
             return
-        raise self.make_refusal(Kind.overloaded, MIN_RETRY_AFTER_S, why)
+        raise self.make_refusal(Kind.overloaded, MIN_RETRY_S, why)
 
     def make_refusal(
         self,
@@ -645,15 +645,13 @@
 
         :returns: the exception to raise.
         """
-        max_retry_after_s = MAX_RETRY_AFTER_FRACTION * (
-            self.call.deadline - boot_time()
-        )
-        if self.forwarder.selector.is_down(self.call.service, boot_time()):
-            retry_after_s = max_retry_after_s
-        bounded_s = max(
-            MIN_RETRY_AFTER_S,
-            min(retry_after_s, max_retry_after_s),
-        )
+        selector = self.forwarder.selector
+        now = boot_time()
+        if selector.is_down(self.call.service, now):
+            retry_after_s = math.inf
+        left_s = self.call.deadline - now
+        draw = selector.source.random()
+        bounded_s = bound_retry_s(retry_after_s, left_s, draw)
         return ForwardingFailed(self.tracker.refusal(kind, bounded_s, why))
 
 
--- a/tests/test_fleet_queue.py
+++ b/tests/test_fleet_queue.py
@@ -8,7 +8,11 @@
 from comfreyarch_core.fleetqueue import MAX_YIELD_S, Backlog, make_fleet_queue
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import make_wait_queue
-from comfreyarch_daemon.dispatcherrors import make_late_error
+from comfreyarch_daemon.dispatcherrors import (
+    MIN_RETRY_S,
+    bound_retry_s,
+    make_late_error,
+)
 from comfreyarch_daemon.loadgossip import decode_load, encode_load
 
 SLOTS = 360
@@ -153,6 +157,27 @@
     assert max(times) < 1.5
 
 
+# Fails if callers return together because callers obey no longer time.
+def test_returns_are_spread_at_the_longest_time():
+    draws = [number / 20 for number in range(21)]
+    times = [bound_retry_s(5, 8, draw) for draw in draws]
+    assert min(times) == pytest.approx(0.6 * 0.3 * 8)
+    assert max(times) == pytest.approx(0.3 * 8)
+    assert len(set(times)) == len(draws)
+
+
+# Fails if a caller returns early to a queue that no return can outlast.
+@pytest.mark.parametrize('wait_s', [9, math.inf])
+def test_returns_are_as_late_as_possible_if_none_can_be_served(wait_s):
+    assert bound_retry_s(wait_s, 8, 0) == pytest.approx(0.9 * 0.3 * 8)
+    assert bound_retry_s(wait_s, 8, 1) == pytest.approx(0.3 * 8)
+
+
+def test_a_wait_that_callers_obey_is_kept():
+    assert bound_retry_s(1.3, 8, 0.5) == 1.3
+    assert bound_retry_s(0, 8, 0.5) == MIN_RETRY_S
+
+
 def test_backlogs_pass_between_entries():
     backlogs = {'s': (Backlog(0, 2, 41.5), Backlog(3, 1, 20))}
     load = EntryLoad('e', 1, 1, {'u': 2}, {'s': 3}, backlogs=backlogs)
