Divide scarce free slots among the entries

Cause: entries learn of free slots and of sends about 60 ms late and choose the least loaded upstream alike, so several send to the same slot; upstreams rejected 912 of 4,637 sends in a burst. Change: if few slots are free for the number of entries, each entry prefers other upstreams by a hash, and takes a slot only if it comes first among the entries where requests wait. A slot that stays free goes to one more entry every 0.15 s. The entry that releases a slot may take it at once. Not measured with processes.

--- a/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/fleetload.py
@@ -45,10 +45,12 @@
 class FleetLoad:
     """Hold the last load of every other entry.
 
+    :param node: name of this entry.
     :param loads: last load and its arrival time, by entry.
     :param totals: requests of all other entries, by upstream.
     """
 
+    node: str = ''
     loads: dict[str, tuple[EntryLoad, float]] = field(default_factory=dict)
     totals: dict[str, int] = field(default_factory=dict)
 
@@ -104,6 +106,17 @@
             load.waiting.get(service, 0) for load, _ in self.loads.values()
         )
 
+    def waiting_entries(self, service: str) -> list[str]:
+        """List the other entries where requests wait.
+
+        :returns: their names.
+        """
+        return [
+            node
+            for node, (load, _) in self.loads.items()
+            if load.waiting.get(service)
+        ]
+
     def backlogs(self, service: str) -> tuple[Backlog, ...]:
         """Return what waits at the other entries.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -24,6 +24,12 @@
 from comfreyarch_core.enginehealth import EngineHealth
 from comfreyarch_core.fleetload import FleetLoad, make_fleet_load
 from comfreyarch_core.sendpermits import SendPermits, Unlimited
+from comfreyarch_core.slotclaims import (
+    SlotClaim,
+    make_slot_claim,
+    rank_entry,
+    score,
+)
 from comfreyarch_core.slowranks import SLOW_PACE
 from comfreyarch_core.streampace import StreamPace, make_stream_pace
 from comfreyarch_core.upstreamlist import UpstreamEntry
@@ -67,6 +73,13 @@
 # Share of a service's upstreams that get no request because they are slow. If more
 # are slow, the others lack the slots for their load.
 MAX_UNUSED_SLOW_SHARE = 0.5
+# Free slots for each other entry up to which entries choose different upstreams.
+# In a trial by score alone, with 26 entries at 0.9 of the capacity, 1 gave 0.55
+# rejections per send, and 6 gave 0.26.
+SCARCE_SLOTS_PER_ENTRY = 6
+# Load by which the preferences of entries then differ, so that they choose
+# different upstreams.
+SCATTER_LOAD = 1.0
 NO_UPSTREAMS: frozenset[str] = frozenset()
 
 
@@ -91,6 +104,7 @@
         accepted request.
     :param paused_until: no new request is sent before this time.
     :param health: last health report of the sidecar beside it, if any.
+    :param claim: whether this entry may take its free slots.
     """
 
     entry: UpstreamEntry
@@ -103,6 +117,7 @@
     paused_until: float = 0
     health: EngineHealth | None = None
     health_reported_at: float = 0
+    claim: SlotClaim = field(default_factory=make_slot_claim)
 
     def is_healthy(self, now: float) -> bool:
         """Check whether the sidecar's health report allows new requests.
@@ -368,13 +383,20 @@
             )
         ]
         ready = leave_out_slow(ready, self.services.get(service, ()), now)
+        scatter = 0.0
+        if is_scarce(self, ready, now):
+            scatter = SCATTER_LOAD
+            ready = leave_to_others(self, service, ready, now)
         if not ready:
             return None
         self.source.shuffle(ready)
         fastest_s = self.min_pass_time_s(service, now)
         return min(
             ready,
-            key=lambda view: self.load_score(view, now, fastest_s),
+            key=lambda view: (
+                self.load_score(view, now, fastest_s)
+                + scatter * score(view.entry.name, self.fleet_load.node)
+            ),
         )
 
     def pass_time_s(self, view: UpstreamView, now: float) -> float:
@@ -540,6 +562,47 @@
     return ready if slow > MAX_UNUSED_SLOW_SHARE * len(views) else usual
 
 
+def is_scarce(
+    selector: UpstreamSelector, ready: list[UpstreamView], now: float
+) -> bool:
+    """Check whether entries may send to the same free slots.
+
+    :param ready: upstreams with a free slot.
+    :returns: True if there are few free slots for the number of entries.
+    """
+    free = sum(
+        view.entry.slots - selector.total_in_flight(view, now) for view in ready
+    )
+    return free <= SCARCE_SLOTS_PER_ENTRY * len(selector.fleet_load.loads)
+
+
+def leave_to_others(
+    selector: UpstreamSelector,
+    service: str,
+    ready: list[UpstreamView],
+    now: float,
+) -> list[UpstreamView]:
+    """Leave free slots to the entries that come first for them.
+
+    Limited upstreams are divided by permits.
+
+    :param ready: upstreams with a free slot.
+    :returns: those at which this entry may take one.
+    """
+    load = selector.fleet_load
+    waiting = load.waiting_entries(service)
+    return [
+        view
+        for view in ready
+        if selector.permits.rate(view.entry) < math.inf
+        or view.claim.may_take(
+            view.entry.slots - selector.total_in_flight(view, now),
+            rank_entry(view.entry.name, load.node, waiting),
+            now,
+        )
+    ]
+
+
 def next_send_at(selector: UpstreamSelector, service: str, now: float) -> float:
     """Return when holds and coldness allow a request to a service.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -206,6 +206,7 @@
             self.selector.permits.use_permit(view.entry, now),
             self.selector.cold.record_send(view.entry, now),
         )
+        view.claim.take()
         view.in_flight += 1
         self.selector.circuit_breaker(waiter.service).sent(now)
         self.on_load_change()
@@ -252,6 +253,7 @@
     def release(self, view: UpstreamView) -> None:
         """Release a slot and assign free slots to waiting requests."""
         view.in_flight -= 1
+        view.claim.released_at = boot_time()
         self.on_load_change()
         if self.results:
             self.serve_queues()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -104,6 +104,7 @@
         self.datagrams = datagrams
         datagrams.handlers[LOAD] = self.receive_load
         self.fleet_load = fleet_load
+        fleet_load.node = node
         self.load_counts = load_counts
         self.on_peer_load = on_peer_load
         self.read_table_versions: Callable[[], dict[str, int]] = dict
