Count waits and refusals of slots by urgency and reason

Cause: operators saw neither which urgency waits nor why requests get no slot. Change: counters slots_refused (reason) and waits (outcome) and the gauge requests_waiting, by service and urgency. A DispatchError names its reason.

--- a/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
@@ -19,6 +19,7 @@
     :param traits: shared parts of the prompt, as traits of the crash guard.
     :param is_resumed: whether the caller already has part of the answer; then
         the request is not refused before its latest start.
+    :param was_queued: set when it joins a queue.
     :param send_by: set with the slot; end of the permit for it.
     """
 
@@ -31,6 +32,7 @@
     deadline: float = math.inf
     traits: tuple[str, ...] = ()
     is_resumed: bool = False
+    was_queued: bool = False
     send_by: float = math.inf
 
     def max_pass_s(self, now: float) -> float:
--- a/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waitqueue.py
@@ -47,6 +47,7 @@
         together, infinite unless all are limited.
     :param others: requests that wait at the other entries.
     :param fleet: predicts waits from the requests of all entries.
+    :param urgencies: urgencies of the requests that have waited.
     :param starts: starts since one was reserved.
     """
 
@@ -56,6 +57,7 @@
     limit: float = math.inf
     others: int = 0
     fleet: FleetQueue = field(default_factory=make_fleet_queue)
+    urgencies: set[int] = field(default_factory=set)
     starts: int = 0
 
     @property
@@ -68,6 +70,8 @@
 
     def join(self, waiter: Waiter) -> None:
         """Add a request."""
+        waiter.was_queued = True
+        self.urgencies.add(waiter.urgency)
         self.waiters.append(waiter)
 
     def leave(self, waiter: Waiter) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -38,6 +38,7 @@
 from comfreyarch_daemon.tablesync import TableSync
 from comfreyarch_daemon.tablewatch import FIRST_RETRY_S, LONGEST_RETRY_S
 from comfreyarch_daemon.upstreamcalls import boot_time
+from comfreyarch_daemon.waitmetrics import report_waiting
 
 # Tag of the messages with an upstream that announces that it leaves.
 LEAVING = 'leaving'
@@ -229,6 +230,7 @@
             self.tables.report_ages()
             self.entry.forwarder.limits.report()
             self.entry.forwarder.zone_control.report()
+            report_waiting(self.metrics, self.entry.dispatcher)
             self.entry.forwarder.cold.report(self.load_gossip.members())
             self.entry.forwarder.pool.trim()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
@@ -1,5 +1,6 @@
 """Define why a dispatcher assigns no slot to a request."""
 
+import enum
 import math
 
 from comfreyarch_core.waiter import Waiter
@@ -19,12 +20,23 @@
 UNREACHABLE_SPREAD_FROM = 0.9
 
 
+class RefusalReason(enum.Enum):
+    """Name why a request gets no slot."""
+
+    no_upstream = 'no_upstream'
+    hold = 'hold'
+    late_start = 'late_start'
+    late_end = 'late_end'
+    timeout = 'timeout'
+
+
 class DispatchError(Exception):
     """Report that a request cannot start in time.
 
     :param why: the reason.
     :param retry_after_s: expected seconds until the queue is served.
     :param has_upstreams: whether the service has any upstream left.
+    :param reason: the reason by which refusals are counted.
     """
 
     def __init__(
@@ -33,11 +45,13 @@
         retry_after_s: float,
         *,
         has_upstreams: bool,
+        reason: RefusalReason = RefusalReason.late_start,
     ) -> None:
         """Record when to retry and whether there are upstreams."""
         super().__init__(why)
         self.retry_after_s = retry_after_s
         self.has_upstreams = has_upstreams
+        self.reason = reason
 
 
 def spread_retry_s(wait_s: float, draw: float) -> float:
@@ -108,4 +122,6 @@
         f'{waiter.pass_count:.0f} passes of at least {pass_s:.3f} s do not end'
         f' in the {waiter.deadline - now:.2f} s before the deadline'
     )
-    return DispatchError(why, math.inf, has_upstreams=True)
+    return DispatchError(
+        why, math.inf, has_upstreams=True, reason=RefusalReason.late_end
+    )
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -19,6 +19,7 @@
 from comfreyarch_core.waitqueue import WaitQueue, make_wait_queue
 from comfreyarch_daemon.dispatcherrors import (
     DispatchError,
+    RefusalReason,
     make_late_error,
     spread_retry_s,
 )
@@ -150,7 +151,12 @@
             if not queue.is_limited:
                 draw = self.selector.source.random()
                 retry_after_s = spread_retry_s(retry_after_s, draw)
-            raise DispatchError(why, retry_after_s, has_upstreams=True)
+            raise DispatchError(
+                why,
+                retry_after_s,
+                has_upstreams=True,
+                reason=RefusalReason.timeout,
+            )
         return view
 
     def yields(self, queue: WaitQueue, waiter: Waiter, now: float) -> bool:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/placementchecks.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/placementchecks.py
@@ -9,7 +9,11 @@
 )
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import WaitQueue
-from comfreyarch_daemon.dispatcherrors import DispatchError, make_slow_error
+from comfreyarch_daemon.dispatcherrors import (
+    DispatchError,
+    RefusalReason,
+    make_slow_error,
+)
 
 
 def check_candidates(selector: UpstreamSelector, waiter: Waiter) -> None:
@@ -24,7 +28,9 @@
     zones = selector.evacuations.zones
     if zones:
         why = f'{why}; evacuated zones: {", ".join(sorted(zones))}'
-    raise DispatchError(why, 0, has_upstreams=False)
+    raise DispatchError(
+        why, 0, has_upstreams=False, reason=RefusalReason.no_upstream
+    )
 
 
 def check_hold(selector: UpstreamSelector, waiter: Waiter, now: float) -> None:
@@ -39,6 +45,7 @@
             f' for {hold_end - now:.2f} s',
             hold_end - now,
             has_upstreams=True,
+            reason=RefusalReason.hold,
         )
 
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -53,6 +53,7 @@
     Unreachable,
     boot_time,
 )
+from comfreyarch_daemon.waitmetrics import count_refused, count_served
 
 OK_STATUS = 200
 MIN_ERROR_STATUS = 500
@@ -338,6 +339,7 @@
         try:
             view = self.forwarder.dispatcher.acquire_slot(waiter)
         except DispatchError as error:
+            count_refused(self.forwarder.metrics, waiter, error.reason)
             if self.has_started:
                 raise AnswerAborted(str(error)) from error
             kind = Kind.overloaded if error.has_upstreams else Kind.no_upstream
@@ -346,6 +348,7 @@
                 error.retry_after_s,
                 str(error),
             ) from error
+        count_served(self.forwarder.metrics, waiter)
         return view, waiter.send_by
 
     def read_head(self, exchange: Exchange) -> AnswerHead:
