Keep cold upstreams limited beside permits and after an empty list

A request with a permit for an announced limit was sent to an upstream that became cold while its connection opened: the time of the permit was taken for that of an allowed send. Both are now checked.

An upstream that started after all others had left the list, and stated no remaining time yet, was taken for one that runs, as if the list were the first one that the entry reads.

Both tests fail without the changes.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
@@ -97,6 +97,7 @@
 
     :param rules: rules by service.
     :param states: what is known of the listed upstreams, by name.
+    :param has_list: whether a list of upstreams was known before.
     :param seen_at: time at which each entry was last listed or heard.
     :param usable_from: time before which this entry sends nothing to cold
         upstreams, as its predecessor may have; infinite without a list of
@@ -110,6 +111,7 @@
     bound: ColdBound = field(default_factory=ColdBound)
     rules: Mapping[str, ColdRules] = field(default_factory=dict)
     states: dict[str, ColdState] = field(default_factory=dict)
+    has_list: bool = False
     seen_at: dict[str, float] = field(default_factory=dict)
     usable_from: float = math.inf
     ranks: dict[str, int] = field(default_factory=dict)
@@ -154,7 +156,8 @@
         self, entries: Collection[UpstreamEntry], now: float
     ) -> None:
         """Record the list of upstreams; what is known of others is dropped."""
-        is_first = not self.states
+        is_first = not self.has_list
+        self.has_list = True
         self.states = {
             entry.name: self.next_state(entry, now, is_first=is_first)
             for entry in entries
--- a/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
@@ -17,7 +17,8 @@
     :param pass_count: minimum number of engine passes, 0 if unknown.
     :param deadline: when the caller stops waiting for the complete answer.
     :param traits: shared parts of the prompt, as traits of the crash guard.
-    :param send_by: set with the slot; end of the permit for it.
+    :param send_by: set with the slot; time by which to send.
+    :param cold_send_by: the same, as far as the upstream is cold.
     """
 
     service: str
@@ -29,6 +30,7 @@
     deadline: float = math.inf
     traits: tuple[str, ...] = ()
     send_by: float = math.inf
+    cold_send_by: float = math.inf
 
     def max_pass_s(self, now: float) -> float:
         """Compute the longest pass time that still meets the deadline.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -198,9 +198,10 @@
         )
         if view is None:
             return None
+        waiter.cold_send_by = self.selector.cold.record_send(view.entry, now)
         waiter.send_by = min(
             self.selector.permits.use_permit(view.entry, now),
-            self.selector.cold.record_send(view.entry, now),
+            waiter.cold_send_by,
         )
         view.in_flight += 1
         self.selector.circuit_breaker(waiter.service).sent(now)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -12,7 +12,7 @@
     make_send_tracker,
 )
 from comfreyarch_core.upstreamlimits import UNKNOWN_VERSION
-from comfreyarch_core.upstreamselection import UpstreamView
+from comfreyarch_core.upstreamselection import UpstreamSelector, UpstreamView
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.dispatcherrors import DispatchError
@@ -290,7 +290,7 @@
         :raises ForwardingFailed: if no upstream can take the request.
         """
         while True:
-            view, send_by = self.acquire_slot()
+            view, waiter = self.acquire_slot()
             self.last_upstream = view.entry.name
             try:
                 self.crashes.record_send()
@@ -298,11 +298,7 @@
             except BaseException:
                 self.forwarder.dispatcher.release(view)
                 raise
-            now = boot_time()
-            selector = self.forwarder.selector
-            if selector.evacuations.may_send(
-                view.entry, now
-            ) and selector.cold.is_in_time(view.entry, send_by, now):
+            if may_send(self.forwarder.selector, view, waiter, boot_time()):
                 return view, connection
             # The permit ended, the upstream became cold, or the evacuation of
             # its zone began, while the connection opened or the process did
@@ -310,10 +306,10 @@
             connection.close()
             self.forwarder.dispatcher.release(view)
 
-    def acquire_slot(self) -> tuple[UpstreamView, float]:
+    def acquire_slot(self) -> tuple[UpstreamView, Waiter]:
         """Acquire a slot at an upstream.
 
-        :returns: the upstream, and the time by which to send.
+        :returns: the upstream, and the request with the times by which to send.
         :raises ForwardingFailed: if none is expected in time.
         :raises AnswerAborted: if so after the answer has started.
         """
@@ -345,7 +341,7 @@
                 error.retry_after_s,
                 str(error),
             ) from error
-        return view, waiter.send_by
+        return view, waiter
 
     def read_head(self, exchange: Exchange) -> AnswerHead:
         """Wait for the head of the answer to this attempt.
@@ -656,6 +652,20 @@
         return ForwardingFailed(self.tracker.refusal(kind, bounded_s, why))
 
 
+def may_send(
+    selector: UpstreamSelector, view: UpstreamView, waiter: Waiter, now: float
+) -> bool:
+    """Check whether a request with a slot may still be sent.
+
+    :returns: False if it must be placed again.
+    """
+    return (
+        now < waiter.send_by
+        and selector.evacuations.may_send(view.entry, now)
+        and selector.cold.is_in_time(view.entry, waiter.cold_send_by, now)
+    )
+
+
 def stream_patience_s(route: Route) -> float:
     """Estimate how long the caller of a stream waits for its first event.
 
--- a/tests/test_cold_entry.py
+++ b/tests/test_cold_entry.py
@@ -8,12 +8,25 @@
 
 from comfreyarch_core.coldupstreams import ColdBound, ColdRules
 from comfreyarch_core.routetable import Service, make_route_table
+from comfreyarch_core.sendpermits import Unlimited
+from comfreyarch_daemon.forwarding import Forwarder
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Five sends in 1.25 s.
 RULES = ColdRules(3, 4)
 
 
+class Permitted(Unlimited):
+    """Give each request a permit that ends at one time."""
+
+    def __init__(self, end):
+        self.end = end
+
+    def use_permit(self, _entry, _now):
+        """Return the end of the permit."""
+        return self.end
+
+
 def recording(answer):
     """Create a script that records when requests arrive."""
 
@@ -145,6 +158,27 @@
         assert not cold.state.is_in_time(entry, send_by, boot_time())
 
 
+# Fails if a permit for an announced limit excuses a request from the allowance of
+# an upstream that became cold while the connection opened.
+def test_a_permit_does_not_excuse_from_the_allowance(monkeypatch):
+    connect = Forwarder.connect
+    with World(recording(answering())) as world:
+        set_cold(world, 0)
+        began_at = boot_time()
+        world.entry.forwarder.selector.permits = Permitted(began_at + 5)
+
+        def connect_late(forwarder, call, view):
+            if view.entry.sequence == 1:
+                list_upstreams(world, 0.4, sequence=2)
+                forwarder.cold.state.free_at['u0'] = [boot_time() + 5]
+            return connect(forwarder, call, view)
+
+        monkeypatch.setattr(Forwarder, 'connect', connect_late)
+        status, *_ = world.call('/safe/x')
+        assert status == 200
+        assert world.upstreams[0].arrived_at[0] - began_at >= 0.4
+
+
 def test_gauges_of_cold_upstreams():
     with World(answering()) as world:
         set_cold(world, 20)
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -277,6 +277,15 @@
     assert not cold.is_cold(started, 11)
 
 
+# Fails if upstreams that start after all others left the list are taken for ones
+# that run, as those in the first list of an entry.
+def test_an_upstream_that_starts_after_an_empty_list():
+    cold = make_cold()
+    started = upstream('u1', 0)
+    cold.update_upstreams([started], 10)
+    assert cold.is_cold(started, 12.9)
+
+
 # Fails if a list entry that is read again starts the time anew.
 def test_a_stale_list_entry_counts_down():
     entry = upstream(cold_s=2)
