End presumed coldness only by list entries written after the evacuation

After the end of an evacuation any newer list entry ended the limit, also one that was written before the end and read after it. A time that the upstream had stated was replaced by coldStartS, also if it was longer.

Changes of a table now state the position by which rows were removed, and the presumption is kept beside what the upstreams state. The daemon's wiring and the limit after an evacuation are tested.

The new tests fail if the position is ignored or a stated time is shortened. The two callbacks in test_zone_evacuation take the position as well.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldupstreams.py
@@ -91,6 +91,19 @@
     stated_s: float | None
 
 
+@dataclass(frozen=True, slots=True)
+class Presumption:
+    """Represent that an upstream is taken to be cold.
+
+    :param since: time from which it is.
+    :param position: position of the store; only a list entry written after it
+        says otherwise.
+    """
+
+    since: float
+    position: int
+
+
 @dataclass(slots=True)
 class ColdUpstreams:
     """Decide which upstreams are cold, and what this entry may send to them.
@@ -98,6 +111,7 @@
     :param rules: rules by service.
     :param states: what is known of the listed upstreams, by name.
     :param has_list: whether a list of upstreams was known before.
+    :param presumed: upstreams that are presumed to be cold, by name.
     :param seen_at: time at which each entry was last listed or heard.
     :param usable_from: time before which this entry sends nothing to cold
         upstreams, as its predecessor may have; infinite without a list of
@@ -112,6 +126,7 @@
     rules: Mapping[str, ColdRules] = field(default_factory=dict)
     states: dict[str, ColdState] = field(default_factory=dict)
     has_list: bool = False
+    presumed: dict[str, Presumption] = field(default_factory=dict)
     seen_at: dict[str, float] = field(default_factory=dict)
     usable_from: float = math.inf
     ranks: dict[str, int] = field(default_factory=dict)
@@ -133,9 +148,21 @@
         state = self.states.get(entry.name)
         if state is None:
             return -math.inf
-        if state.stated_s is None:
-            return state.since + self.rules_of(entry).start_s
-        return state.since + state.stated_s
+        start_s = self.rules_of(entry).start_s
+        stated_s = start_s if state.stated_s is None else state.stated_s
+        presumption = self.presumed.get(entry.name)
+        if presumption is None:
+            return state.since + stated_s
+        return max(state.since + stated_s, presumption.since + start_s)
+
+    def cold_since(self, entry: UpstreamEntry) -> float:
+        """Return the time from which a listed upstream is cold.
+
+        :returns: the latest of the times for which there is a reason.
+        """
+        since = self.states[entry.name].since
+        presumption = self.presumed.get(entry.name)
+        return since if presumption is None else max(since, presumption.since)
 
     def is_cold(self, entry: UpstreamEntry, now: float) -> bool:
         """Check whether an upstream is cold.
@@ -162,6 +189,7 @@
             entry.name: self.next_state(entry, now, is_first=is_first)
             for entry in entries
         }
+        self.end_presumptions(entries)
         for known in (self.ranks, self.free_at, self.sent_at):
             for name in known.keys() - self.states.keys():
                 known.pop(name)
@@ -188,15 +216,26 @@
             return ColdState(version, now, None)
         return ColdState(version, now, entry.cold_s)
 
-    def presume_cold(self, names: Iterable[str], now: float) -> None:
+    def presume_cold(
+        self, names: Iterable[str], position: int, now: float
+    ) -> None:
         """Regard upstreams as cold, as after a start.
 
-        This holds until a newer list entry of theirs says otherwise.
+        :param position: position of the store; a list entry written after it
+            says what holds.
         """
         for name in names:
-            state = self.states.get(name)
-            if state is not None:
-                self.states[name] = ColdState(state.version, now, None)
+            if name in self.states:
+                self.presumed[name] = Presumption(now, position)
+
+    def end_presumptions(self, entries: Collection[UpstreamEntry]) -> None:
+        """Keep the presumptions to which no newer list entry replied."""
+        self.presumed = {
+            entry.name: presumption
+            for entry in entries
+            if (presumption := self.presumed.get(entry.name)) is not None
+            and (entry.cold_s is None or entry.listed <= presumption.position)
+        }
 
     def record_entries(self, nodes: Iterable[str], now: float) -> None:
         """Record the entries that share what cold upstreams tolerate.
@@ -264,7 +303,7 @@
 
         :returns: times.
         """
-        begin = max(self.states[entry.name].since, self.usable_from)
+        begin = max(self.cold_since(entry), self.usable_from)
         rank = self.ranks.get(entry.name, 0)
         step_s = plan.period_s / max(1, plan.sends)
         times = [
--- a/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
@@ -49,10 +49,12 @@
 
     :param rows: new and changed rows, oldest first.
     :param removed: keys of removed rows.
+    :param removed_by: position of the store by which they were removed.
     """
 
     rows: tuple[TableRow, ...]
     removed: tuple[str, ...]
+    removed_by: int = 0
 
 
 @dataclass(slots=True)
@@ -97,7 +99,7 @@
         removed = tuple(sorted(self.rows.keys() - present))
         for key in removed:
             self.remove(key, state.version)
-        return Change(self.accept_newer(state.rows), removed)
+        return Change(self.accept_newer(state.rows), removed, state.version)
 
     def changed(self, state: TableState) -> Change:
         """Apply a response to the long poll for changes.
@@ -106,10 +108,14 @@
         """
         self.version = max(self.version, state.version)
         newer = self.accept_newer(state.rows)
-        removed = tuple(row.key for row in newer if row.removed)
-        for key in removed:
-            self.remove(key, self.rows[key].version)
-        return Change(tuple(row for row in newer if not row.removed), removed)
+        removed = [row for row in newer if row.removed]
+        for removal in removed:
+            self.remove(removal.key, removal.version)
+        return Change(
+            tuple(row for row in newer if not row.removed),
+            tuple(row.key for row in removed),
+            max((row.version for row in removed), default=0),
+        )
 
     def remove(self, key: str, version: int) -> None:
         """Remove a key and keep a tombstone.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/coldreports.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/coldreports.py
@@ -52,10 +52,13 @@
         self.state.update_upstreams(entries, now)
         self.record_changes(now)
 
-    def presume_cold(self, names: Collection[str]) -> None:
-        """Regard upstreams as cold until their list entries say otherwise."""
+    def presume_cold(self, names: Collection[str], position: int) -> None:
+        """Regard upstreams as cold until their list entries say otherwise.
+
+        :param position: position of the store after which these are written.
+        """
         now = boot_time()
-        self.state.presume_cold(names, now)
+        self.state.presume_cold(names, position, now)
         self.record_changes(now)
 
     def report(self, nodes: Collection[str] | None) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
@@ -81,7 +81,7 @@
         for key in change.removed:
             zone = self.adapter.decode_evacuated_zone(key)
             if zone is not None:
-                self.entry.forwarder.zone_control.end(zone)
+                self.entry.forwarder.zone_control.end(zone, change.removed_by)
 
     def store_lost(self) -> None:
         """Do nothing; the last known configuration stays in force."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/zonecontrol.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/zonecontrol.py
@@ -16,7 +16,8 @@
     """Apply, log and count the evacuations that the operator requests.
 
     :param on_ended: called with the names of the upstreams of a zone whose
-        evacuation ended, before any request is sent to them.
+        evacuation ended, and the position of the store by which it had, before
+        any request is sent to them.
     """
 
     __slots__ = ('dispatcher', 'evacuations', 'log', 'metrics', 'on_ended')
@@ -29,7 +30,7 @@
         self.evacuations = dispatcher.selector.evacuations
         self.log = log
         self.metrics = metrics
-        self.on_ended: Callable[[list[str]], None] = ignore
+        self.on_ended: Callable[[list[str], int], None] = ignore
         self.report()
 
     def start(self, zone: str) -> None:
@@ -46,13 +47,16 @@
         self.report()
         self.dispatcher.serve_queues()
 
-    def end(self, zone: str) -> None:
-        """End an evacuation, and place the waiting requests again."""
+    def end(self, zone: str, position: int) -> None:
+        """End an evacuation, and place the waiting requests again.
+
+        :param position: position of the store by which it ended.
+        """
         if not self.evacuations.end(zone):
             return
         views = self.dispatcher.selector.views.values()
         names = names_in_zone(zone, (view.entry for view in views))
-        self.on_ended(names)
+        self.on_ended(names, position)
         self.sort_upstreams()
         self.log.write(
             'evacuation_ended',
@@ -94,5 +98,5 @@
             self.metrics.gauge(IN_FLIGHT_GAUGE, self.in_flight(zone), zone=zone)
 
 
-def ignore(_names: list[str]) -> None:
+def ignore(_names: list[str], _position: int) -> None:
     """Do nothing; the default for ``ZoneControl.on_ended``."""
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -21,7 +21,9 @@
 CHECK_S = 0.03
 
 
-def upstream(name='u0', cold_s=None, sequence=1, started_ms=1, service='s'):
+def upstream(
+    name='u0', cold_s=None, sequence=1, started_ms=1, service='s', listed=0
+):
     """Create a list entry."""
     return UpstreamEntry(
         name,
@@ -31,6 +33,7 @@
         5,
         False,
         cold_s,
+        listed=listed,
         started_ms=started_ms,
         sequence=sequence,
     )
@@ -302,15 +305,45 @@
 def test_upstreams_of_an_ended_evacuation_are_presumed_cold():
     entry = upstream(cold_s=0)
     cold = make_cold(entry)
-    cold.presume_cold(['u0', 'unknown'], 10)
+    cold.presume_cold(['u0', 'unknown'], 5, 10)
     cold.update_upstreams([entry], 10.1)
     assert cold.is_cold(entry, 12.9)
     assert not cold.is_cold(entry, 13)
-    cold.presume_cold(['u0'], 20)
-    cold.update_upstreams([upstream(cold_s=0, sequence=2)], 20.1)
+    cold.presume_cold(['u0'], 5, 20)
+    cold.update_upstreams([upstream(cold_s=0, sequence=2, listed=6)], 20.1)
     assert not cold.is_cold(entry, 20.1)
 
 
+# Fails if a list entry that is read after the end of an evacuation, but was written
+# before it, ends the limit.
+def test_a_list_entry_from_before_the_end_does_not_end_the_limit():
+    entry = upstream(cold_s=0)
+    cold = make_cold(entry)
+    cold.presume_cold(['u0'], 5, 10)
+    cold.update_upstreams([upstream(cold_s=0, sequence=2, listed=5)], 10.1)
+    assert cold.is_cold(entry, 12.9)
+    # Nor does one that does not state a time.
+    cold.update_upstreams([upstream(sequence=3, listed=6)], 10.2)
+    assert cold.is_cold(entry, 12.9)
+    assert not cold.is_cold(entry, 13)
+    cold.update_upstreams([upstream(cold_s=0, sequence=4, listed=7)], 10.3)
+    assert not cold.is_cold(entry, 10.3)
+    assert not cold.presumed
+
+
+# Fails if the end of an evacuation shortens the time that an upstream stated, or
+# limits upstreams of a service without a rule.
+def test_what_an_upstream_stated_outlasts_the_presumption():
+    entry = upstream(cold_s=20)
+    cold = make_cold(entry)
+    cold.presume_cold(['u0'], 5, 10)
+    assert cold.is_cold(entry, 19.9)
+    warm = upstream(cold_s=0)
+    cold = make_cold(warm, rules=ColdRules())
+    cold.presume_cold(['u0'], 5, 10)
+    assert not cold.is_cold(warm, 10)
+
+
 # Fails if a request that was sent before the upstream became cold is left out.
 def test_the_sends_before_an_upstream_became_cold_count():
     cold = make_cold(upstream(cold_s=0), rules=ColdRules(3, 1))
--- a/tests/test_tabletracker.py
+++ b/tests/test_tabletracker.py
@@ -32,6 +32,7 @@
     tracker.mark_history_lost()
     change = tracker.read(state(12, ('b', 11, False)))
     assert change.removed == ('a',)
+    assert change.removed_by == 12
     assert [row.key for row in change.rows] == ['b']
 
 
@@ -41,6 +42,14 @@
     assert not tracker.changed(state(11, ('a', 4, False))).rows
 
 
+def test_a_removal_tells_its_position():
+    tracker = make_table_tracker()
+    tracker.read(state(10, ('a', 9, False)))
+    change = tracker.changed(state(14, ('a', 12, True), ('b', 13, False)))
+    assert change.removed == ('a',)
+    assert change.removed_by == 12
+
+
 @settings(deadline=None)
 @given(
     strategies.lists(
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -8,6 +8,7 @@
 import pytest
 from direct_world import RecordingLog, World, answering
 
+from comfreyarch_core.coldupstreams import ColdBound, ColdRules
 from comfreyarch_core.storeposition import make_position
 from comfreyarch_core.tablefreshness import (
     MAX_CONFIRMED_AGE_S,
@@ -60,7 +61,9 @@
         self.entry.replace_upstreams(self.listed())
         self.listener = ConfigurationListener(ADAPTER, self.entry)
         self.ended = []
-        self.entry.forwarder.zone_control.on_ended = self.ended.append
+        self.entry.forwarder.zone_control.on_ended = lambda names, _position: (
+            self.ended.append(names)
+        )
 
     def listed(self):
         """List the upstreams with their zones."""
@@ -78,6 +81,15 @@
         removed = tuple(row(zone).key for zone in zones)
         self.listener.apply_change(Change((), removed))
 
+    def state_warm(self, sequence, listed):
+        """Let all upstreams state that they are warm."""
+        self.entry.replace_upstreams(
+            [
+                replace(entry, cold_s=0, sequence=sequence, listed=listed)
+                for entry in self.listed()
+            ]
+        )
+
     def fill(self, name):
         """Occupy all slots of an upstream."""
         view = self.entry.dispatcher.selector.views[name]
@@ -227,7 +239,7 @@
         in_flight = []
         views = world.entry.dispatcher.selector.views
         # Part of the contract: upstreams are reported before any send.
-        world.entry.forwarder.zone_control.on_ended = lambda names: (
+        world.entry.forwarder.zone_control.on_ended = lambda names, _position: (
             in_flight.extend((name, views[name].in_flight) for name in names)
         )
         world.withdraw('z0')
@@ -237,6 +249,40 @@
         assert in_flight == [('u0', 0)]
 
 
+# Fails if the upstreams of a zone get more than cold ones tolerate right after its
+# evacuation ends, or if they are not served when their list entries say otherwise.
+def test_upstreams_are_limited_after_an_evacuation():
+    rules = ColdRules(start_s=3, per_s=4)
+    with ZoneWorld(answering(), answering()) as world:
+        forwarder = world.entry.forwarder
+        forwarder.zone_control.on_ended = forwarder.cold.presume_cold
+        state = forwarder.cold.state
+        state.rules = {'s': rules}
+        state.bound = ColdBound(1.5, 5)
+        state.record_entries(['entry'], boot_time() - 10)
+        world.state_warm(1, 1)
+        world.evacuate('z0')
+        world.listener.apply_change(Change((), ('evacuate/z0',), 7))
+        assert 'cold_started' in [event for event, _ in world.log.events]
+        world.fill('u1')
+        calls = [gevent.spawn(world.call, '/safe/') for _ in range(6)]
+        gevent.sleep(0.2)
+        # An entry that was written before the end changes nothing.
+        world.state_warm(2, 7)
+        gevent.sleep(0.2)
+        assert len(world.upstreams[0].seen) <= 3
+        world.state_warm(3, 8)
+        gevent.joinall(calls, timeout=1)
+        assert [call.value[0] for call in calls] == [200] * 6
+
+
+# Fails if the daemon does not report ended evacuations to the limit.
+def test_the_end_of_an_evacuation_is_reported_to_the_limit():
+    with World(answering()) as world:
+        forwarder = world.entry.forwarder
+        assert forwarder.zone_control.on_ended == forwarder.cold.presume_cold
+
+
 # Fails if a request that has a slot, but is not sent, goes to the zone.
 def test_a_request_that_has_just_got_a_slot_is_placed_again():
     with ZoneWorld(answering(), answering()) as world:
