--- a/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
@@ -12,7 +12,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from comfreyarch_core.coldupstreams import ColdRules
+from comfreyarch_core.coldstates import ColdRules
 
 
 class RouteKind(enum.StrEnum):
--- a/tests/test_cold_entry.py
+++ b/tests/test_cold_entry.py
@@ -6,7 +6,8 @@
 import pytest
 from direct_world import ROUTES, World, answering, reply
 
-from comfreyarch_core.coldupstreams import ColdBound, ColdRules
+from comfreyarch_core.coldstates import ColdRules
+from comfreyarch_core.coldupstreams import ColdBound
 from comfreyarch_core.routetable import Service, make_route_table
 from comfreyarch_core.sendpermits import Unlimited
 from comfreyarch_daemon.forwarding import Forwarder
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -5,11 +5,11 @@
 import pytest
 from limit_world import most_in_window
 
+from comfreyarch_core.coldstates import ColdRules
 from comfreyarch_core.coldupstreams import (
     MIN_PERIOD_S,
     SEND_WITHIN_S,
     ColdBound,
-    ColdRules,
     make_cold_upstreams,
     make_plan,
 )
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -9,7 +9,8 @@
 import msgspec
 import pytest
 
-from comfreyarch_core.coldupstreams import ColdBound, ColdRules
+from comfreyarch_core.coldstates import ColdRules
+from comfreyarch_core.coldupstreams import ColdBound
 from comfreyarch_core.enginestate import (
     ArmedSwitch,
     ArmMap,
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -8,7 +8,8 @@
 import pytest
 from direct_world import RecordingLog, World, answering
 
-from comfreyarch_core.coldupstreams import ColdBound, ColdRules
+from comfreyarch_core.coldstates import ColdRules
+from comfreyarch_core.coldupstreams import ColdBound
 from comfreyarch_core.storeposition import make_position
 from comfreyarch_core.tablefreshness import (
     MAX_CONFIRMED_AGE_S,
