Soak: cold servers, and a check of what they get

Servers are cold for 3 s after their start, state the remaining time in their rows and count the arrivals of a second. The fault cool-server makes them cold again. over_cold_bound adds up the arrivals of all entries; it excuses entries that could not learn that a server became cold again, and seconds in which a fault may have held back requests.

Only the check is tested; the soak was not run.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,7 @@
 from comfreyarch_core.retryshare import RetryLimits
 from soak.callers import RETRYABLE_STATUSES, AttemptRecord
 from soak.faultinjection import (
+    COLD_PER_S,
     EVACUATION_S,
     Evacuated,
     Fault,
@@ -22,6 +23,7 @@
     affects_entry,
     ends_or_suspends,
 )
+from soak.fleet import BOUNDS
 from soak.retrybudget import find_worst_window
 from soak.wire import SIGNATURE_HEADER, answer_body, event
 
@@ -46,6 +48,10 @@
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
 KNOWN_LIMIT_DELAY_S = 0.5
+# Requests that may reach a cold server in any second, over all entries.
+COLD_MOST = COLD_PER_S * BOUNDS['coldOverage'] + BOUNDS['coldAllowance']
+# From a server's statement that it is cold again until entries must know it.
+KNOWN_COLD_DELAY_S = 2.0
 # Crashes by one part of prompts after which it is known, and the number of later
 # requests with it that is tolerated.
 KNOWN_CRASHES = 5
@@ -162,6 +168,7 @@
         sent_after_announcement,
         sent_within_hold,
         over_limit,
+        over_cold_bound,
         sent_with_crashing_part,
     )
     guarantees = (*untimed, *time_bound) if timed else untimed
@@ -559,6 +566,58 @@
     return told
 
 
+def over_cold_bound(evidence: Evidence) -> list[str]:
+    """Find seconds in which a cold server got more requests than the bound.
+
+    Entries in contact or not count. Those that could not learn that the server
+    became cold again are excused, as is a second in which a fault of a link or
+    of a server may have held back requests that then arrived together.
+    """
+    sent = {record.attempt: record for record in evidence.records}
+    since: dict[str, dict[str, Any]] = {}
+    arrivals: dict[str, list[float]] = defaultdict(list)
+    for run in evidence.runs:
+        if 'cold_until' in run:
+            # Entries take one that starts again under its name for the former.
+            is_new = run['start'] and run['server'] not in since
+            since[run['server']] = {**run, 'start': is_new}
+        record = sent.get(run.get('cold_arrival', ''))
+        cold = since.get(run['server']) if record is not None else None
+        if cold is None or record is None:
+            continue
+        arrived = run['arrived']
+        if cold['start'] or (
+            arrived >= cold['at'] + KNOWN_COLD_DELAY_S
+            and evidence.is_unaffected(
+                record.entry, cold['at'] - CONTACT_RECOVERY_S, arrived
+            )
+        ):
+            arrivals[run['server']].append(arrived)
+    violations = []
+    for server, times in arrivals.items():
+        most, at = max(
+            (sum(at <= other < at + 1 for other in times), at)
+            for at in (*times, 0.0)
+            if not may_bunch(evidence, at)
+        )
+        if most > COLD_MOST:
+            violations.append(
+                f'{server} got {most} requests in a second from {at} while cold,'
+                f' {COLD_MOST:.0f} allowed'
+            )
+    return violations
+
+
+def may_bunch(evidence: Evidence, at: float) -> bool:
+    """Check whether a fault may have held back requests until a second."""
+    return any(
+        (fault.what == 'pause-server' or fault.what.startswith('link-'))
+        and fault.at < at + 1
+        and fault.until + CONTACT_RECOVERY_S > at
+        for fault in evidence.faults
+    )
+
+
 def sent_with_crashing_part(evidence: Evidence) -> list[str]:
     """Find parts that crashed servers and reached more of them later."""
     sent = {record.attempt: record for record in evidence.records}
--- a/soak/faultinjection.py
+++ b/soak/faultinjection.py
@@ -17,7 +17,7 @@
     ZONES,
     Fleet,
 )
-from soak.server import CRASHING_PART
+from soak.server import COLD_START_S, CRASHING_PART
 
 # Faults that are planned work; all others are disruptions.
 PLANNED_WORK = frozenset(
@@ -48,6 +48,8 @@
 # some seconds after it began.
 LIMIT_DURATIONS = 4
 MAX_LIMIT_PER_S = 4.0
+# Requests per second that a cold server tolerates.
+COLD_PER_S = 4.0
 # Mean pause of a caller between requests during a burst.
 BURST_PAUSE_S = 0.01
 # A program can't handle SIGHUP until its interpreter runs the first line; a
@@ -137,6 +139,7 @@
             'trouble': self.fail_answers,
             'hold-server': self.hold_server,
             'limit-server': self.limit_server,
+            'cool-server': self.cool_server,
             'link': self.impair_link,
             'reset': self.break_connections,
             'store': self.impair_store,
@@ -336,6 +339,13 @@
             gevent.sleep(length_s)
         program.send_command({'do': 'limit', 'per_s': 0})
 
+    def cool_server(self, duration_s: float) -> None:
+        """Make servers cold again, at least for as long as after a start."""
+        name = self.rng.choice(self.fleet.servers)
+        cold_s = COLD_START_S + duration_s
+        self.record_fault('cool-server', name, cold_s)
+        self.fleet.programs[name].send_command({'do': 'cold', 'for_s': cold_s})
+
     def impair_link(self, duration_s: float) -> None:
         """Impair one link."""
         name = self.rng.choice(self.fleet.links)
@@ -469,13 +479,14 @@
         'spare': 2,
         'step_ms': 20,
     }
+    cold = {'coldStartS': COLD_START_S, 'coldPerS': COLD_PER_S}
     teams = sorted(set(keys.values()))
     return {
         'version': version,
         'routes': routes,
         'services': [
-            {'name': 'models', 'engine': engine},
-            {'name': 'ledger'},
+            {'name': 'models', 'engine': engine, **cold},
+            {'name': 'ledger', **cold},
         ],
         'tenants': [
             {
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -39,6 +39,8 @@
     'retryWindowS': 10,
     'retryAllowance': 184,
     'evacuationMs': 5000,
+    'coldOverage': 1.5,
+    'coldAllowance': 5,
 }
 
 
--- a/soak/server.py
+++ b/soak/server.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 import time
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -34,6 +35,8 @@
 )
 
 HEARTBEAT_S = 1.2
+# Time for which a server is cold after its start.
+COLD_START_S = 3.0
 MAX_QUEUED = 4
 SERVICE_TIME_S = 0.04
 LEAVING = {'Server-Leaving': '1'}
@@ -80,6 +83,8 @@
         after which to retry.
     :param limit: announced limit in requests per second, 0 for none.
     :param born: Unix time of the start, in ms.
+    :param cold_until: Unix time until which the server is cold.
+    :param arrivals: times of the requests in the last second.
     """
 
     name: str
@@ -96,6 +101,8 @@
     held_until: float = 0
     limit: float = 0
     born: int = field(default_factory=lambda: int(time.time() * 1000))
+    cold_until: float = 0
+    arrivals: deque[float] = field(default_factory=deque)
     slots: Any = None
     listener: Any = None
 
@@ -104,6 +111,7 @@
         self.slots = BoundedSemaphore(self.row['slots'])
         self.listener = StreamServer(self.listen, self.serve)
         self.listener.start()
+        self.become_cold(COLD_START_S, is_start=True)
         gevent.spawn(self.send_heartbeats)
 
     def send_heartbeats(self) -> None:
@@ -116,7 +124,7 @@
         """Write the row to the store, or remove it if it is None."""
         self.heartbeats += 1
         if row is not None:
-            row = {**row, 'born': self.born, 'sequence': self.heartbeats}
+            row = self.stated_row(row)
         body = json.dumps({'key': self.name, 'row': row})
         client = HTTPClient.from_url(self.store)
         try:
@@ -128,6 +136,38 @@
         finally:
             client.close()
 
+    def stated_row(self, row: dict[str, Any]) -> dict[str, Any]:
+        """Complete a row by what the server states now.
+
+        :returns: the row.
+        """
+        left_s = max(0.0, self.cold_until - time.time())
+        return {
+            **row,
+            'born': self.born,
+            'sequence': self.heartbeats,
+            'coldRemainingMs': round(left_s * 1000),
+        }
+
+    def become_cold(self, cold_s: float, *, is_start: bool = False) -> None:
+        """Be cold for a time, which the next row states."""
+        self.cold_until = time.time() + cold_s
+        self.write_event({'cold_until': self.cold_until, 'start': is_start})
+
+    def count_arrival(self, attempt: str, arrived: float) -> None:
+        """Count the requests of the last second; write those while cold."""
+        self.arrivals.append(arrived)
+        while self.arrivals[0] <= arrived - 1:
+            self.arrivals.popleft()
+        if arrived < self.cold_until:
+            self.write_event(
+                {
+                    'cold_arrival': attempt,
+                    'arrived': arrived,
+                    'in_second': len(self.arrivals),
+                }
+            )
+
     def drain(self) -> None:
         """Drain, and remove the row after the last request."""
         self.row = {**self.row, 'state': 'draining'}
@@ -188,6 +228,7 @@
         if expected != self.name:
             self.refuse(sock, 421, attempt, {'At-Server': self.name})
             return True
+        self.count_arrival(attempt, arrived)
         if arrived < self.held_until:
             self.write_event({'held': attempt, 'until': self.held_until})
             left_s = f'{self.held_until - arrived:.3f}'
@@ -379,6 +420,11 @@
         for server in servers:
             server.held_until = time.time() + command['for_s']
         return
+    if command['do'] == 'cold':
+        for server in servers:
+            server.become_cold(command['for_s'])
+            gevent.spawn(server.write_row, server.row)
+        return
     if command['do'] == 'limit':
         for server in servers:
             server.limit = command['per_s']
