Keep presumed coldness when a restored store repeats list entries

A restored store gives former list entries positions in a new era, after that of the end of an evacuation, so an entry from before the end ended the limit. The same statement of an upstream does not end it any more. The test fails without the change.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coldstates.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldstates.py
@@ -126,11 +126,11 @@
         """Record the list of upstreams; what is known of others is dropped."""
         is_first = not self.has_list
         self.has_list = True
+        self.end_presumptions(entries)
         self.states = {
             entry.name: self.next_state(entry, now, is_first=is_first)
             for entry in entries
         }
-        self.end_presumptions(entries)
 
     def next_state(
         self, entry: UpstreamEntry, now: float, *, is_first: bool
@@ -172,9 +172,24 @@
             entry.name: presumption
             for entry in entries
             if (presumption := self.presumed.get(entry.name)) is not None
-            and (entry.cold_s is None or entry.listed <= presumption.position)
+            and not self.is_reply(entry, presumption)
         }
 
+    def is_reply(self, entry: UpstreamEntry, presumption: Presumption) -> bool:
+        """Check whether a list entry says what holds in place of a presumption.
+
+        A restored store gives former entries new positions, so the position
+        alone does not make one newer.
+
+        :returns: False if it was written before, or states no time.
+        """
+        known = self.states.get(entry.name)
+        return (
+            entry.cold_s is not None
+            and entry.listed > presumption.position
+            and (known is None or known.version != version_of(entry))
+        )
+
     def load(self, entry: UpstreamEntry, now: float) -> float:
         """Return the load to add to an upstream's score.
 
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -13,6 +13,7 @@
     make_cold_upstreams,
     make_plan,
 )
+from comfreyarch_core.storeposition import make_position
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.upstreamselection import make_upstream_selector
 
@@ -331,6 +332,20 @@
     assert not cold.presumed
 
 
+# Fails if an entry from before the end counts as newer, as a restored store gives it
+# a position in a new era.
+def test_a_restored_list_entry_does_not_end_the_limit():
+    cold = make_cold(upstream(cold_s=0, sequence=4, listed=4))
+    cold.presume_cold(['u0'], 5, 10)
+    restored = upstream(cold_s=0, sequence=4, listed=make_position(1, 4))
+    cold.update_upstreams([restored], 10.1)
+    cold.update_upstreams([restored], 10.2)
+    assert cold.is_cold(restored, 12.9)
+    newer = upstream(cold_s=0, sequence=5, listed=make_position(1, 5))
+    cold.update_upstreams([newer], 10.3)
+    assert not cold.is_cold(newer, 10.3)
+
+
 # Fails if the end of an evacuation shortens the time that an upstream stated, or
 # limits upstreams of a service without a rule.
 def test_what_an_upstream_stated_outlasts_the_presumption():
