Apply a reloaded evacuationMs

Whether sends wait after a freeze was decided once at the start, so a rule that was added to or removed from the settings took effect only after a restart. The test fails without the change.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -148,10 +148,8 @@
             self.log,
         )
         dispatcher.on_load_change = self.load_gossip.load_changed.set
-        if settings.evacuation_s:
-            self.entry.forwarder.zone_control.evacuations.is_outdated = partial(
-                self.tables.is_outdated, 'configuration'
-            )
+        evacuations = dispatcher.selector.evacuations
+        evacuations.is_outdated = self.may_miss_evacuations
         self.load_gossip.read_table_versions = self.tables.versions
         self.load_gossip.read_backlogs = dispatcher.backlogs
         self.load_gossip.read_confirmations = self.tables.confirmations
@@ -183,6 +181,15 @@
         self.tables.handle_confirmations(load.confirmations)
         self.tables.handle_versions(load.tables, address)
 
+    def may_miss_evacuations(self, now: float) -> bool:
+        """Check whether a request to evacuate a zone may not be read yet.
+
+        :returns: False if the settings have no rule for evacuations.
+        """
+        return self.settings.evacuation_s > 0 and self.tables.is_outdated(
+            'configuration', now
+        )
+
     def start(self) -> None:
         """Start all components."""
         self.log.write('start', settings=str(self.path))
--- a/tests/test_zone_evacuation.py
+++ b/tests/test_zone_evacuation.py
@@ -538,3 +538,13 @@
         resumed_at = now + MAX_CONFIRMED_AGE_S + 60
         assert not evacuations.is_outdated(now)
         assert evacuations.is_outdated(resumed_at) == bool(evacuation_s)
+        # Settings that are reloaded take effect.
+        monkeypatch.setattr(
+            entry_fleet,
+            'make_settings',
+            lambda name: replace(
+                make_settings(name), evacuation_s=5 - evacuation_s
+            ),
+        )
+        node.reload()
+        assert evacuations.is_outdated(resumed_at) != bool(evacuation_s)
