--- a/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
@@ -20,7 +20,8 @@
     :param is_resumed: whether the caller already has part of the answer; then
         the request is not refused before its latest start.
     :param was_queued: set when it joins a queue.
-    :param send_by: set with the slot; end of the permit for it.
+    :param send_by: set with the slot; time by which to send.
+    :param cold_send_by: the same, as far as the upstream is cold.
     """
 
     service: str
@@ -34,6 +35,7 @@
     is_resumed: bool = False
     was_queued: bool = False
     send_by: float = math.inf
+    cold_send_by: float = math.inf
 
     def max_pass_s(self, now: float) -> float:
         """Compute the longest pass time that still meets the deadline.
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -208,9 +208,10 @@
         )
         if view is None:
             return None
+        waiter.cold_send_by = self.selector.cold.record_send(view.entry, now)
         waiter.send_by = min(
             self.selector.permits.use_permit(view.entry, now),
-            self.selector.cold.record_send(view.entry, now),
+            waiter.cold_send_by,
         )
         view.claim.take()
         view.in_flight += 1
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -12,7 +12,11 @@
     make_send_tracker,
 )
 from comfreyarch_core.upstreamlimits import UNKNOWN_VERSION
-from comfreyarch_core.upstreamselection import UpstreamView, record_gap
+from comfreyarch_core.upstreamselection import (
+    UpstreamSelector,
+    UpstreamView,
+    record_gap,
+)
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.dispatcherrors import (
@@ -291,7 +295,7 @@
         :raises ForwardingFailed: if no upstream can take the request.
         """
         while True:
-            view, send_by = self.acquire_slot()
+            view, waiter = self.acquire_slot()
             self.last_upstream = view.entry.name
             try:
                 self.crashes.record_send()
@@ -299,11 +303,7 @@
             except BaseException:
                 self.forwarder.dispatcher.release(view)
                 raise
-            now = boot_time()
-            selector = self.forwarder.selector
-            if selector.evacuations.may_send(
-                view.entry, now
-            ) and selector.cold.is_in_time(view.entry, send_by, now):
+            if may_send(self.forwarder.selector, view, waiter, boot_time()):
                 return view, connection
             # The permit ended, the upstream became cold, or the evacuation of
             # its zone began, while the connection opened or the process did
@@ -311,10 +311,10 @@
             connection.close()
             self.forwarder.dispatcher.release(view)
 
-    def acquire_slot(self) -> tuple[UpstreamView, float]:
+    def acquire_slot(self) -> tuple[UpstreamView, Waiter]:
         """Acquire a slot at an upstream.
 
-        :returns: the upstream, and the time by which to send.
+        :returns: the upstream, and the request with the times by which to send.
         :raises ForwardingFailed: if none is expected in time.
         :raises AnswerAborted: if so after the answer has started.
         """
@@ -349,7 +349,7 @@
                 str(error),
             ) from error
         count_served(self.forwarder.metrics, waiter)
-        return view, waiter.send_by
+        return view, waiter
 
     def read_head(self, exchange: Exchange) -> AnswerHead:
         """Wait for the head of the answer to this attempt.
@@ -672,6 +672,20 @@
     sender.progress_at = now
 
 
+def may_send(
+    selector: UpstreamSelector, view: UpstreamView, waiter: Waiter, now: float
+) -> bool:
+    """Check whether a request with a slot may still be sent.
+
+    :returns: False if it must be placed again.
+    """
+    return (
+        now < waiter.send_by
+        and selector.evacuations.may_send(view.entry, now)
+        and selector.cold.is_in_time(view.entry, waiter.cold_send_by, now)
+    )
+
+
 def stream_patience_s(route: Route) -> float:
     """Estimate how long the caller of a stream waits for its first event.
 
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -5,14 +5,15 @@
 import pytest
 from limit_world import most_in_window
 
+from comfreyarch_core.coldstates import ColdRules
 from comfreyarch_core.coldupstreams import (
     MIN_PERIOD_S,
     SEND_WITHIN_S,
     ColdBound,
-    ColdRules,
     make_cold_upstreams,
     make_plan,
 )
+from comfreyarch_core.storeposition import make_position
 from comfreyarch_core.upstreamlist import UpstreamEntry
 from comfreyarch_core.upstreamselection import make_upstream_selector
 
@@ -21,7 +22,9 @@
 CHECK_S = 0.03
 
 
-def upstream(name='u0', cold_s=None, sequence=1, started_ms=1, service='s'):
+def upstream(
+    name='u0', cold_s=None, sequence=1, started_ms=1, service='s', listed=0
+):
     """Create a list entry."""
     return UpstreamEntry(
         name,
@@ -31,6 +34,7 @@
         5,
         False,
         cold_s,
+        listed=listed,
         started_ms=started_ms,
         sequence=sequence,
     )
@@ -277,6 +281,15 @@
     assert not cold.is_cold(started, 11)
 
 
+# Fails if upstreams that start after all others left the list are taken for ones
+# that run, as those in the first list of an entry.
+def test_an_upstream_that_starts_after_an_empty_list():
+    cold = make_cold()
+    started = upstream('u1', 0)
+    cold.update_upstreams([started], 10)
+    assert cold.is_cold(started, 12.9)
+
+
 # Fails if a list entry that is read again starts the time anew.
 def test_a_stale_list_entry_counts_down():
     entry = upstream(cold_s=2)
@@ -293,15 +306,59 @@
 def test_upstreams_of_an_ended_evacuation_are_presumed_cold():
     entry = upstream(cold_s=0)
     cold = make_cold(entry)
-    cold.presume_cold(['u0', 'unknown'], 10)
+    cold.presume_cold(['u0', 'unknown'], 5, 10)
     cold.update_upstreams([entry], 10.1)
     assert cold.is_cold(entry, 12.9)
     assert not cold.is_cold(entry, 13)
-    cold.presume_cold(['u0'], 20)
-    cold.update_upstreams([upstream(cold_s=0, sequence=2)], 20.1)
+    cold.presume_cold(['u0'], 5, 20)
+    cold.update_upstreams([upstream(cold_s=0, sequence=2, listed=6)], 20.1)
     assert not cold.is_cold(entry, 20.1)
 
 
+# Fails if a list entry that is read after the end of an evacuation, but was written
+# before it, ends the limit.
+def test_a_list_entry_from_before_the_end_does_not_end_the_limit():
+    entry = upstream(cold_s=0)
+    cold = make_cold(entry)
+    cold.presume_cold(['u0'], 5, 10)
+    cold.update_upstreams([upstream(cold_s=0, sequence=2, listed=5)], 10.1)
+    assert cold.is_cold(entry, 12.9)
+    # Nor does one that does not state a time.
+    cold.update_upstreams([upstream(sequence=3, listed=6)], 10.2)
+    assert cold.is_cold(entry, 12.9)
+    assert not cold.is_cold(entry, 13)
+    cold.update_upstreams([upstream(cold_s=0, sequence=4, listed=7)], 10.3)
+    assert not cold.is_cold(entry, 10.3)
+    assert not cold.presumed
+
+
+# Fails if an entry from before the end counts as newer, as a restored store gives it
+# a position in a new era.
+def test_a_restored_list_entry_does_not_end_the_limit():
+    cold = make_cold(upstream(cold_s=0, sequence=4, listed=4))
+    cold.presume_cold(['u0'], 5, 10)
+    restored = upstream(cold_s=0, sequence=4, listed=make_position(1, 4))
+    cold.update_upstreams([restored], 10.1)
+    cold.update_upstreams([restored], 10.2)
+    assert cold.is_cold(restored, 12.9)
+    newer = upstream(cold_s=0, sequence=5, listed=make_position(1, 5))
+    cold.update_upstreams([newer], 10.3)
+    assert not cold.is_cold(newer, 10.3)
+
+
+# Fails if the end of an evacuation shortens the time that an upstream stated, or
+# limits upstreams of a service without a rule.
+def test_what_an_upstream_stated_outlasts_the_presumption():
+    entry = upstream(cold_s=20)
+    cold = make_cold(entry)
+    cold.presume_cold(['u0'], 5, 10)
+    assert cold.is_cold(entry, 19.9)
+    warm = upstream(cold_s=0)
+    cold = make_cold(warm, rules=ColdRules())
+    cold.presume_cold(['u0'], 5, 10)
+    assert not cold.is_cold(warm, 10)
+
+
 # Fails if a request that was sent before the upstream became cold is left out.
 def test_the_sends_before_an_upstream_became_cold_count():
     cold = make_cold(upstream(cold_s=0), rules=ColdRules(3, 1))
