--- a/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/grouppressure.py
@@ -25,10 +25,11 @@
 MIN_RANKS_TO_PREDICT = 32
 # Share of slots in use below which a large group counts as idle.
 IDLE_SLOT_SHARE = 0.05
-# Share of a pass that grows with the load of the most loaded rank.
-EXPERT_SHARE = 0.85
-# Growth of a pass from no request per rank to all slots in use. Engines of the
-# known deployments grow by 0.45 and 1.2; the lower one gives fewer maps.
+# Share of a pass that grows with the load of the most loaded rank, if the
+# configuration states none.
+DEFAULT_EXPERT_SHARE = 0.85
+# Growth of a pass from no request per rank to all slots in use. Engines grow by
+# this or more; a higher one gives more maps.
 FULL_LOAD_GROWTH = 0.45
 # Weight of the newest sample of the pass time at even load. Counts and pass
 # times lag differently behind a shift, which the average evens out.
@@ -38,8 +39,9 @@
 MAP_LIFETIME_S = 1.5
 # Share by which passes are longer while experts are copied.
 COPY_SLOWDOWN = 0.15
-# Time in which a rank copies one expert: 370 MB at 180 Gbit/s.
-EXPERT_COPY_S = 0.0165
+# Time in which a rank copies one expert, if the configuration does not state
+# its size and the link: 370 MB at 180 Gbit/s.
+DEFAULT_EXPERT_COPY_S = 0.0165
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,10 +51,14 @@
     :param slots: maximum concurrent requests per rank.
     :param max_gap_s: longest pause allowed between two events of a stream; 0
         if no route sets one.
+    :param expert_share: share of a pass that is work of experts.
+    :param expert_copy_s: time in which a rank copies one expert.
     """
 
     slots: int
     max_gap_s: float
+    expert_share: float = DEFAULT_EXPERT_SHARE
+    expert_copy_s: float = DEFAULT_EXPERT_COPY_S
 
 
 @dataclass(slots=True)
@@ -96,7 +102,7 @@
         """Record the skew of the map in use, to learn the even pass time."""
         if not self.pass_s:
             return
-        sample_s = self.pass_s / work_factor(skew)
+        sample_s = self.pass_s / work_factor(skew, self.limits.expert_share)
         if not self.even_pass_s:
             self.even_pass_s = sample_s
         self.even_pass_s += EVEN_PASS_SMOOTHING * (sample_s - self.even_pass_s)
@@ -107,7 +113,8 @@
         :param skew: peak over mean load of the map in use.
         :returns: seconds, 0 before the first pass.
         """
-        return max(self.pass_s, self.even_pass_s * work_factor(skew))
+        factor = work_factor(skew, self.limits.expert_share)
+        return max(self.pass_s, self.even_pass_s * factor)
 
     def predict_pass(self, skew: float, size: int) -> float:
         """Predict the pass time with all slots in use.
@@ -141,25 +148,29 @@
         allowed_s = share * self.limits.max_gap_s
         return 0 < allowed_s < pass_s
 
+    def is_map_worthwhile(
+        self, before: float, after: float, copies: int
+    ) -> bool:
+        """Weigh the time that a map saves against that of its copies.
 
-def work_factor(skew: float) -> float:
-    """Return the pass time at a skew, relative to an even load."""
-    return 1 - EXPERT_SHARE + EXPERT_SHARE * skew
-
+        All streams of a group share its passes, so their number cancels out.
 
-def is_map_worthwhile(before: float, after: float, copies: int) -> bool:
-    """Weigh the time that a map saves against that of its copies.
+        :param before: skew of the map in use.
+        :param after: skew of the planned map.
+        :param copies: most experts that one rank copies.
+        :returns: True if the shorter passes save more than the copies take.
+        """
+        share = self.limits.expert_share
+        saved = 1 - work_factor(after, share) / work_factor(before, share)
+        cost_s = COPY_SLOWDOWN * self.limits.expert_copy_s * copies
+        return saved * MAP_LIFETIME_S > cost_s
 
-    All streams of a group share its passes, so their number cancels out.
 
-    :param before: skew of the map in use.
-    :param after: skew of the planned map.
-    :param copies: most experts that one rank copies.
-    :returns: True if the shorter passes save more than the copies take.
-    """
-    saved_share = 1 - work_factor(after) / work_factor(before)
-    cost_s = COPY_SLOWDOWN * EXPERT_COPY_S * copies
-    return saved_share * MAP_LIFETIME_S > cost_s
+def work_factor(
+    skew: float, expert_share: float = DEFAULT_EXPERT_SHARE
+) -> float:
+    """Return the pass time at a skew, relative to an even load."""
+    return 1 - expert_share + expert_share * skew
 
 
 def make_pressure_monitor(limits: ServiceLimits) -> PressureMonitor:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -10,10 +10,7 @@
     EngineState,
     GroupMap,
 )
-from comfreyarch_core.grouppressure import (
-    is_map_worthwhile,
-    make_pressure_monitor,
-)
+from comfreyarch_core.grouppressure import make_pressure_monitor
 from comfreyarch_core.groupstate import are_at_rest, are_switching
 from comfreyarch_core.mapcontrol import MapControl, make_map_control
 from comfreyarch_core.mapcontrolmessages import (
@@ -451,7 +448,7 @@
         planned = plan_map(
             content, loads, self.limits, slowness, pause_planning
         )
-        if planned is None or not is_map_worthwhile(
+        if planned is None or not self.pressure.is_map_worthwhile(
             planned.before, planned.after, planned.copies
         ):
             return
--- a/tests/test_group_pressure.py
+++ b/tests/test_group_pressure.py
@@ -5,7 +5,6 @@
 from comfreyarch_core.enginestate import EngineState
 from comfreyarch_core.grouppressure import (
     ServiceLimits,
-    is_map_worthwhile,
     make_pressure_monitor,
     work_factor,
 )
@@ -70,7 +69,12 @@
 )
 def test_a_map_must_save_more_than_its_copies_take(after, is_worthwhile):
     """A map that copies 24 experts per rank needs more than a small gain."""
-    assert is_map_worthwhile(2.8, after, 24) == is_worthwhile
+    monitor = make_pressure_monitor(ServiceLimits(SLOTS, MAX_GAP_S))
+    assert monitor.is_map_worthwhile(2.8, after, 24) == is_worthwhile
+    slow_link = ServiceLimits(SLOTS, MAX_GAP_S, expert_copy_s=1)
+    assert not make_pressure_monitor(slow_link).is_map_worthwhile(
+        2.8, after, 24
+    )
 
 
 def test_a_pass_grows_with_the_share_of_experts():
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -166,6 +166,20 @@
     assert decode_map_rules(document, 'y') is None
 
 
+def test_rules_of_maps_state_the_cost_of_copies():
+    engine = {
+        'experts': 144,
+        'expertFraction': 0.5,
+        'expertMb': 370.0,
+        'linkMbps': 90000.0,
+    }
+    document = {'version': 1, 'services': [{'name': 'x', 'engine': engine}]}
+    rules = decode_map_rules(json.dumps(document).encode(), 'x')
+    assert rules.service_limits.expert_share == 0.5
+    copy_s = rules.service_limits.expert_copy_s
+    assert copy_s == pytest.approx(0.0329, abs=1e-4)
+
+
 def test_a_server():
     entry = decode_upstream('i-1', json.dumps(SERVER).encode(), 12)
     assert (entry.name, entry.listed, entry.cold_s) == ('i-1', 12, 0.5)
