Explain to operators where a request would go

Operators could not see why an entry sends a request to an upstream, queues it or refuses it. `comfreyarch place` asks an entry, which places the request on copies of its selector and wait queue and reports the outcome, the candidates and why upstreams are left out. The placement itself is the same code as for requests: `place` and `find_starts` are split off for it, `list_ready` from `UpstreamSelector.choose`.

Bars are not considered: they need the prompt.

--- a/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
+++ b/packages/comfreyarch-cli/src/comfreyarch_cli/main.py
@@ -7,7 +7,14 @@
 
 import typer
 
-from comfreyarch_cli import bars, changes, limits, reports, requesttrace
+from comfreyarch_cli import (
+    bars,
+    changes,
+    limits,
+    place,
+    reports,
+    requesttrace,
+)
 from comfreyarch_cli.access import list_instances, open_store, read_pages
 from comfreyarch_cli.errors import CommandError, ExitCode
 from comfreyarch_cli.output import print_json, print_line, print_table
@@ -23,6 +30,7 @@
 app.add_typer(stop_app, name='stop')
 
 app.command()(bars.bars)
+app.command()(place.place)
 
 StoreOption = Annotated[
     str,
--- a/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/limitcontrol.py
@@ -7,7 +7,9 @@
 import math
 import random
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field
+from copy import deepcopy
+from dataclasses import dataclass, field, replace
+from typing import Self
 
 from comfreyarch_core.limitshares import (
     LimitReport,
@@ -95,6 +97,21 @@
         self.issuer.use_own(name)
         return now + PERMIT_TTL_S
 
+    def copy(self) -> Self:
+        """Copy the state, so that a trial leaves this one unchanged.
+
+        :returns: a control that counts the same entries.
+        """
+        return replace(
+            self,
+            shares=deepcopy(self.shares),
+            issuer=deepcopy(self.issuer),
+            source=deepcopy(self.source),
+            limits=deepcopy(self.limits),
+            stock=deepcopy(self.stock),
+            reported_until=self.reported_until.copy(),
+        )
+
     def record_answer(
         self,
         entry: UpstreamEntry,
--- a/packages/comfreyarch-core/src/comfreyarch_core/sendpermits.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/sendpermits.py
@@ -1,7 +1,7 @@
 """Define what limits the sends to upstreams that announce a request limit."""
 
 import math
-from typing import Protocol
+from typing import Protocol, Self
 
 from comfreyarch_core.upstreamlist import UpstreamEntry
 
@@ -22,6 +22,9 @@
     def use_permit(self, entry: UpstreamEntry, now: float) -> float:
         """Use a permit for a request; return the time to send it by."""
 
+    def copy(self) -> Self:
+        """Copy the state, so that a trial leaves this one unchanged."""
+
 
 class Unlimited:
     """Allow all sends, as long as nothing tracks the limits."""
@@ -41,3 +44,7 @@
     def use_permit(self, _entry: UpstreamEntry, _now: float) -> float:
         """Return no time to send by."""
         return math.inf
+
+    def copy(self) -> Self:
+        """Return itself, as there is no state."""
+        return self
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamselection.py
@@ -368,25 +368,7 @@
             meets its deadline.
         :returns: None if no upstream has a free slot.
         """
-        if not self.circuit_breaker(service).may_send(now):
-            return None
-        if self.evacuations.is_outdated(now):
-            return None
-        ready = [
-            view
-            for view in self.services.get(service, ())
-            if view.entry.name not in avoid
-            and self.has_free_slot(view, now)
-            and (
-                max_pass_s == math.inf
-                or present_pass_s(self, view, now) <= max_pass_s
-            )
-        ]
-        ready = leave_out_slow(ready, self.services.get(service, ()), now)
-        scatter = 0.0
-        if is_scarce(self, ready, now):
-            scatter = SCATTER_LOAD
-            ready = leave_to_others(self, service, ready, now)
+        ready, scatter = list_ready(self, service, now, avoid, max_pass_s)
         if not ready:
             return None
         self.source.shuffle(ready)
@@ -545,6 +527,38 @@
         return pause_s
 
 
+def list_ready(
+    selector: UpstreamSelector,
+    service: str,
+    now: float,
+    avoid: frozenset[str],
+    max_pass_s: float,
+) -> tuple[list[UpstreamView], float]:
+    """List the upstreams among which the load score decides.
+
+    :returns: the upstreams, and the load by which the preferences of
+        entries differ.
+    """
+    if not selector.circuit_breaker(service).may_send(now):
+        return [], 0
+    if selector.evacuations.is_outdated(now):
+        return [], 0
+    ready = [
+        view
+        for view in selector.services.get(service, ())
+        if view.entry.name not in avoid
+        and selector.has_free_slot(view, now)
+        and (
+            max_pass_s == math.inf
+            or present_pass_s(selector, view, now) <= max_pass_s
+        )
+    ]
+    ready = leave_out_slow(ready, selector.services.get(service, ()), now)
+    if is_scarce(selector, ready, now):
+        return leave_to_others(selector, service, ready, now), SCATTER_LOAD
+    return ready, 0
+
+
 def leave_out_slow(
     ready: list[UpstreamView], views: Collection[UpstreamView], now: float
 ) -> list[UpstreamView]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -120,6 +120,7 @@
                     MetricsPage(self.metrics),
                     self.entry.forwarder.crash_guard,
                     self.entry.forwarder.limits,
+                    self.entry,
                 ),
             ),
         ]
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -93,27 +93,9 @@
         :returns: the upstream; the request counts as in flight there.
         :raises DispatchError: if the request cannot start in time.
         """
-        now = boot_time()
         queue = self.queues.setdefault(waiter.service, make_wait_queue())
-        if not queue.waiters and not self.yields(queue, waiter, now):
-            view = self.take_free_slot(waiter, now)
-            if view is not None:
-                self.request_permits(waiter.service, FUTURE_DEMAND, now)
-                return view
-        check_candidates(self.selector, waiter)
-        check_hold(self.selector, waiter, now)
-        self.update_limit(waiter.service, queue, now)
-        self.update_fleet(waiter.service, queue, now)
-        check_end(self.selector, waiter, queue, now)
-        # Waits for slots tell nothing of the wait for a permit.
-        needs_permit = not queue.is_limited and math.isfinite(
-            self.selector.service_limit(waiter.service, now, waiter.avoid)
-        )
-        if not needs_permit and queue.cannot_start_in_time(waiter, now):
-            raise make_late_error(
-                queue, queue.wait_s(waiter, now), self.selector.source.random()
-            )
-        return self.wait_for_slot(waiter, queue)
+        view = place(self, waiter, queue, boot_time())
+        return view if view is not None else self.wait_for_slot(waiter, queue)
 
     def wait_for_slot(self, waiter: Waiter, queue: WaitQueue) -> UpstreamView:
         """Wait in the queue until a slot is assigned.
@@ -359,6 +341,37 @@
         }
 
 
+def place(
+    dispatcher: Dispatcher, waiter: Waiter, queue: WaitQueue, now: float
+) -> UpstreamView | None:
+    """Assign a free slot to a request, or check that it may wait for one.
+
+    :returns: the upstream, None if the request may wait.
+    :raises DispatchError: if the request cannot start in time.
+    """
+    if not queue.waiters and not dispatcher.yields(queue, waiter, now):
+        view = dispatcher.take_free_slot(waiter, now)
+        if view is not None:
+            dispatcher.request_permits(waiter.service, FUTURE_DEMAND, now)
+            return view
+    check_candidates(dispatcher.selector, waiter)
+    check_hold(dispatcher.selector, waiter, now)
+    dispatcher.update_limit(waiter.service, queue, now)
+    dispatcher.update_fleet(waiter.service, queue, now)
+    check_end(dispatcher.selector, waiter, queue, now)
+    # Waits for slots tell nothing of the wait for a permit.
+    needs_permit = not queue.is_limited and math.isfinite(
+        dispatcher.selector.service_limit(waiter.service, now, waiter.avoid)
+    )
+    if not needs_permit and queue.cannot_start_in_time(waiter, now):
+        raise make_late_error(
+            queue,
+            queue.wait_s(waiter, now),
+            dispatcher.selector.source.random(),
+        )
+    return None
+
+
 def ignore_change() -> None:
     """Do nothing; the default for ``Dispatcher.on_load_change``."""
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/operatorpages.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/operatorpages.py
@@ -1,14 +1,16 @@
-"""Serve the bars and request limits of an entry to operators."""
+"""Serve bars, request limits and placements of an entry to operators."""
 
 import json
 from typing import Any
-from urllib.parse import parse_qs
+from urllib.parse import parse_qs, parse_qsl
 
+from comfreyarch_daemon.directentry import DirectEntry
 from comfreyarch_daemon.monitoringpages import (
     NOT_FOUND_STATUS,
     OK_STATUS,
     MetricsPage,
 )
+from comfreyarch_daemon.placementpage import PlacementExplainer
 from comfreyarch_daemon.sharedcrashguard import SharedCrashGuard
 from comfreyarch_daemon.sharedlimits import SharedLimits
 from comfreyarch_daemon.statuslines import StartResponse, status_line
@@ -17,28 +19,33 @@
 BARS_PATH = '/bars'
 LIFT_PATH = '/bars/lift'
 LIMITS_PATH = '/limits'
+PLACE_PATH = '/place'
+BAD_REQUEST_STATUS = 400
 METHOD_NOT_ALLOWED_STATUS = 405
 
 
 class OperatorPages:
-    """Serve bars and limits, and the metrics at all other paths.
+    """Serve bars, limits and placements, and the metrics at all other paths.
 
     ``GET /bars`` lists the bars; ``POST /bars/lift?trait=…`` lifts one at all
     entries. ``GET /limits`` lists the request limits that upstreams announce.
+    ``GET /place?…`` explains where a request would go.
     """
 
-    __slots__ = ('crash_guard', 'limits', 'metrics_page')
+    __slots__ = ('crash_guard', 'limits', 'metrics_page', 'placements')
 
     def __init__(
         self,
         metrics_page: MetricsPage,
         crash_guard: SharedCrashGuard,
         limits: SharedLimits,
+        entry: DirectEntry | None = None,
     ) -> None:
         """Serve the given page, and what the given parts know."""
         self.metrics_page = metrics_page
         self.crash_guard = crash_guard
         self.limits = limits
+        self.placements = PlacementExplainer(entry) if entry else None
 
     def __call__(
         self,
@@ -54,6 +61,9 @@
             return send_json(start_response, OK_STATUS, self.list_bars())
         if path == LIMITS_PATH:
             return send_json(start_response, OK_STATUS, self.limits.page())
+        if path == PLACE_PATH and self.placements is not None:
+            query = dict(parse_qsl(environ.get('QUERY_STRING', '')))
+            return send_placement(start_response, self.placements, query)
         if path != LIFT_PATH:
             return self.metrics_page(environ, start_response)
         if environ['REQUEST_METHOD'] != 'POST':
@@ -85,6 +95,23 @@
         ]
 
 
+def send_placement(
+    start_response: StartResponse,
+    placements: PlacementExplainer,
+    query: dict[str, str],
+) -> list[bytes]:
+    """Start the response that explains a placement.
+
+    :returns: its body.
+    """
+    try:
+        page = placements.page(query)
+    except ValueError as error:
+        refusal = {'error': f'{error}; give numbers'}
+        return send_json(start_response, BAD_REQUEST_STATUS, refusal)
+    return send_json(start_response, OK_STATUS, page)
+
+
 def send_json(
     start_response: StartResponse, status: int, document: Any
 ) -> list[bytes]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -322,14 +322,10 @@
         route = call.route
         since = self.progress_at
         target_s = route.gap_target_s if self.has_started else route.target_s
-        patience_s = call.deadline - since
-        if route.kind == RouteKind.streaming:
-            patience_s = min(patience_s, stream_patience_s(route))
         waiter = Waiter(
             call.service,
             call.urgency,
-            since + target_s - TYPICAL_FIRST_BYTE_S,
-            since + patience_s - TYPICAL_FIRST_BYTE_S,
+            *find_starts(route, target_s, since, call.deadline),
             frozenset(self.tracker.tried),
             call.pass_count,
             call.deadline,
@@ -686,6 +682,20 @@
     )
 
 
+def find_starts(
+    route: Route, target_s: float, since: float, deadline: float
+) -> tuple[float, float]:
+    """Compute by when a request must start.
+
+    :returns: latest start that meets the target, and latest useful start.
+    """
+    patience_s = deadline - since
+    if route.kind == RouteKind.streaming:
+        patience_s = min(patience_s, stream_patience_s(route))
+    begin = since - TYPICAL_FIRST_BYTE_S
+    return begin + target_s, begin + patience_s
+
+
 def stream_patience_s(route: Route) -> float:
     """Estimate how long the caller of a stream waits for its first event.
 
