Read the leader's row once at a time

Callers could see no change of maps after it: the leader's sidecar logged a traceback. Cause: since readings of the row have a time limit, the next change began another one on the same connection while a slow store had not answered the first (ConcurrentObjectUseError).

A leader has one reading in progress, and readings and claims of one sidecar take turns on the connection. test_one_reading_of_the_row_is_in_progress_at_a_time counts two readings on the old code.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -99,7 +99,6 @@
         'health',
         'is_engine_usable',
         'last_tick_at',
-        'leadership',
         'limits',
         'log',
         'metrics',
@@ -109,6 +108,7 @@
         'schedule',
         'silent_ranks',
         'slow_ranks',
+        'term_reader',
         'unsettled_since',
         'workers',
     )
@@ -141,7 +141,7 @@
         self.health = make_health_watch()
         self.slow_ranks = make_slow_ranks()
         self.is_engine_usable = True
-        self.leadership = leadership
+        self.term_reader = TermReader(leadership)
         self.log = log
         self.metrics = metrics
         self.reports = GroupReports(own_state.size, rules.limits.experts)
@@ -508,7 +508,7 @@
         :returns: False if another leader was elected, if the term is lost, or
             if the store is unavailable.
         """
-        reading = gevent.Greenlet.spawn(check_term, self)
+        reading = self.term_reader.read(self)
         reading.join(TERM_CHECK_TIMEOUT_S)
         if reading.ready():
             return bool(reading.value)
@@ -517,13 +517,38 @@
         return not self.must_resign and age_s < MAX_CONFIRMATION_AGE_S
 
 
+class TermReader:
+    """Read the leader's row, one reading at a time.
+
+    A slow store may not have answered when the next change is due.
+
+    :param reading: the last reading, which may be in progress.
+    """
+
+    __slots__ = ('leadership', 'reading')
+
+    def __init__(self, leadership: Leadership) -> None:
+        """Start without a reading."""
+        self.leadership = leadership
+        self.reading: gevent.Greenlet | None = None
+
+    def read(self, leader: MapLeader) -> gevent.Greenlet:
+        """Start a reading unless one is in progress.
+
+        :returns: the reading; its value tells whether the term is confirmed.
+        """
+        if self.reading is None or self.reading.ready():
+            self.reading = gevent.Greenlet.spawn(check_term, leader)
+        return self.reading
+
+
 def check_term(leader: MapLeader) -> bool:
     """Read the leader's row, and end the term if it is over.
 
     :returns: whether the row confirms the term.
     """
     try:
-        row = leader.leadership.read(leader.group)
+        row = leader.term_reader.leadership.read(leader.group)
     except StoreCallFailed as error:
         leader.log.write('leadership_unknown', why=str(error))
         return False
--- a/tests/test_demand_shifts.py
+++ b/tests/test_demand_shifts.py
@@ -106,9 +106,11 @@
 
     def __init__(self, fence):
         self.fence = fence
+        self.reads = 0
 
     def read(self, _group):
         """Read the leader's row."""
+        self.reads += 1
         gevent.sleep(SLOW_STORE_S)
         return LeaderRow(self.fence)
 
@@ -116,16 +118,29 @@
 def test_a_slow_store_does_not_delay_a_change(monkeypatch):
     """Each change waited for the store, however slow."""
     leader = DemandWorld(monkeypatch).leader
-    leader.leadership = SlowLeadership(leader.fence)
+    leader.term_reader.leadership = SlowLeadership(leader.fence)
     assert leader.is_still_leader()
     leader.schedule.term_confirmed_at -= MAX_CONFIRMATION_AGE_S
     assert not leader.is_still_leader()
 
 
+def test_one_reading_of_the_row_is_in_progress_at_a_time(monkeypatch):
+    """Two readings used one connection at the same time while a store was slow."""
+    leader = DemandWorld(monkeypatch).leader
+    leadership = SlowLeadership(leader.fence)
+    leader.term_reader.leadership = leadership
+    assert leader.is_still_leader()
+    assert leader.is_still_leader()
+    assert leadership.reads == 1
+    gevent.sleep(2 * SLOW_STORE_S)
+    assert leader.is_still_leader()
+    assert leadership.reads == 2
+
+
 def test_a_late_answer_of_the_store_ends_the_term(monkeypatch):
     """The answer must not be lost because a change did not wait for it."""
     leader = DemandWorld(monkeypatch).leader
-    leader.leadership = SlowLeadership(leader.fence + 1)
+    leader.term_reader.leadership = SlowLeadership(leader.fence + 1)
     assert leader.is_still_leader()
     gevent.sleep(2 * SLOW_STORE_S)
     assert leader.must_resign
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 import base64
 import json
 
+import gevent
 import msgspec
 import pytest
 
@@ -602,3 +603,38 @@
         assert len(head.shared_parts) == 32
     else:
         assert head.shared_parts == parts
+
+
+class SlowStore:
+    """Answer slowly, and count the calls in progress at the same time."""
+
+    def __init__(self):
+        self.calls = 0
+        self.most = 0
+
+    def read_row(self, _key):
+        """Read a row that does not exist."""
+        self.calls += 1
+        self.most = max(self.most, self.calls)
+        gevent.sleep(0.01)
+        self.calls -= 1
+        return None, 0
+
+    def write_row(self, key, _content, _expected):
+        """Write a row."""
+        self.read_row(key)
+        return 1
+
+
+def test_a_claim_waits_for_a_reading_on_the_same_connection():
+    """Guards against two greenlets that read answers of one connection."""
+    leadership = PlatformLeadership('127.0.0.1:9')
+    leadership.store = SlowStore()
+    calls = [
+        gevent.spawn(leadership.read, 'g'),
+        gevent.spawn(leadership.claim, 'g', Term('a', 1), LeaderRow(0)),
+        gevent.spawn(leadership.read, 'g'),
+    ]
+    gevent.joinall(calls, timeout=5, raise_error=True)
+    assert [call.value for call in calls][1] == 1
+    assert leadership.store.most == 1
