--- a/review/1/run.py
+++ b/review/1/run.py
@@ -1,6 +1,7 @@
 """An unreadable row among the servers, then a kill of all entries."""
 
 import asyncio
+import os
 import signal
 import sys
 import time
@@ -37,8 +38,8 @@
     return len(served) / len(done)
 
 
-async def play(folder, trouble):
-    world = w.World(folder)
+async def play(record, trouble):
+    world = w.World(record)
     for _ in range(3):
         world.add_server('app')
     world.add_route('/plain/', 'idempotent', 'app', timeout_ms=2000)
@@ -79,4 +80,6 @@
 
 
 if __name__ == '__main__':
-    w.main(HERE, play)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Path(os.environ.get('RECORD', HERE / 'record.txt'))
+    w.main(play, trouble, record)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -1,6 +1,7 @@
 """An entry is stopped as planned while all slots of a service are in use."""
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -16,11 +17,15 @@
 SLOTS = 4
 LOSS_SLACK_S = w.BOUNDS['lossSlackMs'] / 1000
 # Times after SIGTERM.
-LONG_STREAMS_AT_S = 4.8
+SECOND_STREAM_AT_S = 2.9
+LONG_STREAMS_AT_S = 4.5
+LONG_STREAM_GAP_S = 0.05
 SHORT_STREAMS_AT_S = (5.0, 5.3, 5.6, 5.7, 5.8, 5.9, 6.0, 6.1)
 END_S = w.BOUNDS['gracePeriodS'] + 1
 # An event holds 5 tokens and comes 50 ms after the one before.
 TOKENS_PER_EVENT = 5
+# Events of the site's longest streams.
+LONGEST = 69
 
 
 class KeptConnection:
@@ -78,8 +83,8 @@
     await asyncio.sleep(max(0, begin + offset_s - time.monotonic()))
 
 
-async def play(folder, trouble):
-    world = w.World(folder)
+async def play(record, trouble):
+    world = w.World(record)
     for _ in range(SERVERS):
         world.add_server('models', SLOTS)
     world.add_route('/words/', 'streaming', 'models', resumable=True)
@@ -94,17 +99,21 @@
             await connection.open()
             await connection.request(4)
             connections.append(connection)
-        # A stream that was sent before the stop and ends before its end.
-        first = KeptConnection(world, stopped)
-        await first.open()
-        connections.append(first)
-        tasks = [asyncio.create_task(first.request(135))]
+        # Two streams that end before the entry does.
+        early = [KeptConnection(world, stopped) for _ in range(2)]
+        for connection in early:
+            await connection.open()
+            await connection.request(4)
+            connections.append(connection)
+        tasks = [asyncio.create_task(early[0].request(LONGEST))]
         await asyncio.sleep(0.2)
         begin = time.monotonic()
         if trouble:
             stopped.signal(signal.SIGTERM)
-        await at(begin, LONG_STREAMS_AT_S)
-        for _ in range(slots - 1):
+        await at(begin, SECOND_STREAM_AT_S)
+        tasks.append(asyncio.create_task(early[1].request(LONGEST)))
+        for number in range(slots - 1):
+            await at(begin, LONG_STREAMS_AT_S + LONG_STREAM_GAP_S * number)
             connection = KeptConnection(world, other)
             await connection.open()
             connections.append(connection)
@@ -117,7 +126,7 @@
         await asyncio.gather(*tasks, *short)
         if trouble:
             print(f'exit status {stopped.process.wait()}')
-        for task in [tasks[0], *short]:
+        for task in [*tasks[:2], *short]:
             reply, is_sent = task.result()
             passed_on = any(
                 run['request'] == reply.attempt for run in world.runs
@@ -141,4 +150,6 @@
 
 
 if __name__ == '__main__':
-    w.main(HERE, play)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Path(os.environ.get('RECORD', HERE / 'record.txt'))
+    w.main(play, trouble, record)
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,6 +1,7 @@
-"""One entry freezes while requests wait there for a slot."""
+"""One entry freezes while streams wait there for a slot."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -15,7 +16,10 @@
 SLOTS = 4
 REQUESTS = 30
 WARM_UP_REQUESTS = 8
-FIRST, ADDED = '/plain/first/30', '/plain/added/30'
+FIRST, ADDED = '/plain/first/30', '/words/added/1'
+# Time between two streams; the same before, during and after the freeze.
+ARRIVAL_S = 0.08
+LONG_STREAM = '/words/added/60'
 
 
 def is_served(reply):
@@ -31,10 +35,11 @@
     for count in range(number):
         for path in paths:
             entry = world.entries[count % len(world.entries)]
+            method = 'GET' if path == FIRST else 'POST'
             replies[path].append(
-                asyncio.create_task(world.call(entry, path, 'GET', 4000))
+                asyncio.create_task(world.call(entry, path, method, 4000))
             )
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(ARRIVAL_S)
     shares = {}
     for path, tasks in replies.items():
         done = await asyncio.gather(*tasks)
@@ -43,22 +48,18 @@
     return shares
 
 
-async def burst(world, trouble):
-    """Let requests wait at the first entry while the second uses all slots."""
+async def fill_slots(world, trouble):
+    """Fill all slots by one entry, while later streams wait at the other one.
+
+    Streams arrive at the same rate all the time.
+    """
     first, second = world.entries
     slots = SERVERS * SLOTS
-    tasks = [
-        asyncio.create_task(
-            world.call(second, '/plain/added/1200', 'GET', 4000)
-        )
-        for _ in range(slots)
-    ]
-    await asyncio.sleep(0.2)
-    tasks += [
-        asyncio.create_task(world.call(first, '/plain/added/60', 'GET', 4000))
-        for _ in range(slots)
-    ]
-    await asyncio.sleep(0.15)
+    tasks = []
+    for entry, path in ((second, LONG_STREAM), (first, ADDED)):
+        for _ in range(slots):
+            tasks.append(asyncio.create_task(world.call(entry, path, 'POST')))
+            await asyncio.sleep(ARRIVAL_S)
     if trouble:
         first.signal(signal.SIGSTOP)
     await asyncio.sleep(FROZEN_S)
@@ -67,8 +68,8 @@
     await asyncio.gather(*tasks)
 
 
-async def play(folder, trouble):
-    world = w.World(folder)
+async def play(record, trouble):
+    world = w.World(record)
     for _ in range(SERVERS):
         world.add_server('first', SLOTS)
     for _ in range(SERVERS):
@@ -76,11 +77,11 @@
     world.add_route('/plain/first/', 'idempotent', 'first', timeout_ms=2000)
     try:
         await world.start()
-        world.add_route('/plain/added/', 'idempotent', 'added', timeout_ms=2000)
+        world.add_route('/words/added/', 'streaming', 'added', resumable=True)
         world.configure()
         await asyncio.sleep(w.CONTACT_S)
         before = await measure(world, [FIRST, ADDED], WARM_UP_REQUESTS)
-        await burst(world, trouble)
+        await fill_slots(world, trouble)
         # Steady state: contactMs after the end of the disruption.
         await asyncio.sleep(w.CONTACT_S + 2)
         after = await measure(world, [FIRST, ADDED], REQUESTS)
@@ -96,4 +97,6 @@
 
 
 if __name__ == '__main__':
-    w.main(HERE, play)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Path(os.environ.get('RECORD', HERE / 'record.txt'))
+    w.main(play, trouble, record)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,6 +1,7 @@
 """Rows of another writer name the addresses of servers, for another service."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -58,8 +59,8 @@
         world.record.write('foreign_row', address=server.address)
 
 
-async def play(folder, trouble):
-    world = w.World(folder)
+async def play(record, trouble):
+    world = w.World(record)
     for service in ('first', 'added'):
         for _ in range(SERVERS):
             world.add_server(service)
@@ -87,4 +88,6 @@
 
 
 if __name__ == '__main__':
-    w.main(HERE, play)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Path(os.environ.get('RECORD', HERE / 'record.txt'))
+    w.main(play, trouble, record)
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -1,6 +1,7 @@
 """A stream breaks off after its first event, and its client resumes it."""
 
 import asyncio
+import os
 import random
 import signal
 import sys
@@ -63,8 +64,8 @@
     return ids, complete
 
 
-async def play(folder, trouble):
-    world = w.World(folder)
+async def play(record, trouble):
+    world = w.World(record)
     server = world.add_server('models')
     world.add_route('/words/', 'streaming', 'models', resumable=True)
     breaches = []
@@ -96,4 +97,6 @@
 
 
 if __name__ == '__main__':
-    w.main(HERE, play)
+    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Path(os.environ.get('RECORD', HERE / 'record.txt'))
+    w.main(play, trouble, record)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -51,9 +51,9 @@
 class Record:
     """Write record.txt: one JSON line for each thing sent, answered or run."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = (Path(folder) / 'record.txt').open('w')
+        self.file = path.open('w')
 
     def now(self):
         return round(time.monotonic() - self.started, 3)
@@ -528,8 +528,8 @@
 class World:
     """Own the stand-ins and the entries of one run."""
 
-    def __init__(self, case_folder, entries=2):
-        self.record = Record(case_folder)
+    def __init__(self, record_path, entries=2):
+        self.record = Record(record_path)
         self.folder = Path(tempfile.mkdtemp(prefix='review-'))
         self.net = find_free_net()
         self.runs = []
@@ -657,15 +657,16 @@
     raise CannotRun('no free loopback addresses')
 
 
-def main(case_folder, play):
+def main(play, trouble, record_path):
     """Play a case and exit with its verdict.
 
-    :param play: gets the folder and whether the disruption is on; returns the
-        breaches that were seen.
+    :param play: gets the path of the record and whether the disruption is on;
+        returns the breaches that were seen.
     """
-    trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
-        breaches = asyncio.run(asyncio.wait_for(play(case_folder, trouble), 115))
+        breaches = asyncio.run(
+            asyncio.wait_for(play(record_path, trouble), 115)
+        )
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         print(f'cannot run: {error!r}')
         raise SystemExit(2) from error
