--- a/review/1/run.py
+++ b/review/1/run.py
@@ -13,7 +13,7 @@
 import world as w  # noqa: E402
 
 REQUESTS = 40
-DOWN_S = 1.5
+DOWN_S = 1.2
 # 1,500 bytes that are no entry of a server; a row may have 65,536.
 UNREADABLE = b'[' * 1500
 
