Resume a stream after the event 0

Cause: read_call computed 'parse_number(text) or -1', so the id 0 became -1, which stands for no event. The upstream's record showed a request without the header for 0 and with it for 3; the splitter alone drops a repeated event 0.

--- a/packages/comfreyarch-core/src/comfreyarch_core/eventsplitter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/eventsplitter.py
@@ -8,19 +8,24 @@
 
 EVENT_END = b'\n\n'
 ID_FIELD = b'id:'
+# Id of the last event before the first one; ids begin with 0 or later.
+NO_EVENT = -1
+# Longest text that is read as an id: every such id fits into 64 bits.
+MAX_EVENT_ID_DIGITS = 18
 
 
 @dataclass(slots=True)
 class EventSplitter:
     """Split the bytes of a stream into events.
 
-    :param last_id: id of the last event passed on; -1 before the first.
+    :param last_id: id of the last event passed on, ``NO_EVENT`` before the
+        first.
     :param incomplete: bytes of an incomplete event.
     :param has_gap: whether an event is missing, so that the stream cannot
         continue.
     """
 
-    last_id: int = -1
+    last_id: int = NO_EVENT
     incomplete: bytes = b''
     has_gap: bool = False
 
@@ -59,7 +64,7 @@
             return True
         if event_id <= self.last_id:
             return False
-        if self.last_id >= 0 and event_id != self.last_id + 1:
+        if self.last_id != NO_EVENT and event_id != self.last_id + 1:
             self.has_gap = True
         self.last_id = event_id
         return not self.has_gap
@@ -73,5 +78,7 @@
     for line in event.split(b'\n'):
         if line.startswith(ID_FIELD):
             text = line[len(ID_FIELD) :].strip()
+            if len(text) > MAX_EVENT_ID_DIGITS:
+                return None
             return int(text) if text.isdigit() else None
     return None
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sendfailures.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sendfailures.py
@@ -1,7 +1,7 @@
 """Recognize answers that are of no use, and classify failed sends."""
 
 from comfreyarch_core.answerbounds import MAX_EVENT_BYTES
-from comfreyarch_core.eventsplitter import EventSplitter
+from comfreyarch_core.eventsplitter import NO_EVENT, EventSplitter
 from comfreyarch_core.sendtracker import SendFailure
 from comfreyarch_daemon.answerparser import Answer
 from comfreyarch_daemon.forwarding import MISDIRECTED_STATUS
@@ -53,7 +53,11 @@
     """
     if splitter.incomplete and (has_events or answer.ended_by_close):
         raise ExchangeBroken(f'the stream of {upstream} ended within an event')
-    if answer.ended_by_close and not has_events and splitter.last_id < 0:
+    if (
+        answer.ended_by_close
+        and not has_events
+        and splitter.last_id == NO_EVENT
+    ):
         raise ExchangeBroken(
             f'the stream of {upstream} ended before its first event'
         )
--- a/tests/test_event_splitter.py
+++ b/tests/test_event_splitter.py
@@ -56,3 +56,9 @@
     splitter = EventSplitter(last_id=6)
     assert splitter.feed(event(7)) == event(7)
     assert not splitter.has_gap
+
+
+def test_an_id_too_long_to_be_a_number_is_not_read():
+    """Guards against an uncaught ValueError of ``int`` (over 4,300 digits)."""
+    raw = b'id: ' + b'9' * 5000 + b'\ndata: x\n\n'
+    assert EventSplitter().feed(raw) == raw
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -267,6 +267,33 @@
     assert not {'Authorization', 'X-Hop', 'Connection'} & sent.keys()
 
 
+@pytest.mark.parametrize(
+    ('text', 'last_event_id'),
+    [
+        ('0', 0),
+        (' 0 ', 0),
+        ('00', 0),
+        ('1', 1),
+        ('9007199254740993', 9007199254740993),
+        ('', -1),
+        ('-1', -1),
+        ('1.5', -1),
+        ('\u00b2', -1),
+        ('9' * 400, -1),
+        ('9' * 5000, -1),
+    ],
+)
+def test_last_event_id_of_a_call(text, last_event_id):
+    """Guards against the id 0 read as no id, and ids that are rounded."""
+    header_codec = PlatformHeaderCodec()
+    head = header_codec.read_call([*CALL, ('Last-Event-Id', text)])
+    assert head.last_event_id == last_event_id
+    context = SendContext('i-1', 1.5, 't', 2, last_event_id)
+    sent = dict(header_codec.send_headers(head, context))
+    expected = None if last_event_id < 0 else str(last_event_id)
+    assert sent.get('Last-Event-Id') == expected
+
+
 def test_headers_of_an_answer():
     head = PlatformHeaderCodec().read_answer(
         [
--- a/tests/test_unframed_answers.py
+++ b/tests/test_unframed_answers.py
@@ -84,6 +84,34 @@
         assert (status, body) == (200, b'')
 
 
+@pytest.mark.parametrize('first', [0, 1, 7])
+@pytest.mark.parametrize('received', [1, 2, 4])
+@pytest.mark.parametrize('prefix', ['/stream/', '/plain/'])
+def test_a_caller_resumes_after_any_event(prefix, received, first):
+    """Guards against a stream sent again after the event 0 (review/5)."""
+    events = [event(number) for number in range(first, first + 5)]
+    last = f'Last-Event-Id: {first + received - 1}\r\n'
+    for crashes, framing in ((False, ''), (False, CHUNKED)):
+        script = ending(b''.join(events), crashes=crashes, framing=framing)
+        with World(script) as world:
+            status, _, body = world.call(f'{prefix}x', extra=last)
+            assert (status, body) == (200, b''.join(events[received:]))
+            [(_, headers, _)] = world.upstreams[0].seen
+            assert headers['last-event-id'] == str(first + received - 1)
+
+
+@pytest.mark.parametrize('first', [0, 1, 7])
+def test_an_entry_resumes_after_the_first_event(first):
+    events = [event(number) for number in range(first, first + 5)]
+    scripts = (
+        ending(events[0], crashes=True),
+        ending(b''.join(events), crashes=False),
+    )
+    for order in (scripts, scripts[::-1]):
+        with World(*order) as world:
+            assert world.call('/stream/x')[::2] == (200, b''.join(events))
+
+
 def test_a_stream_that_a_crash_ends_between_events_is_resumed():
     first, second = event(1) + event(2), EVENTS
     scripts = ending(first, crashes=True), ending(second, crashes=False)
