Read the sequence 0 of an upstream as stated

whole_number returned 0 for a missing sequence, so the first report of an upstream (sequence 0) counted as one without a sequence and was never outdated: a store restored from a copy made then listed a leaving upstream as ready again.

A missing sequence is now None. The two cases of test_the_first_report_in_an_older_copy_is_outdated failed before.

--- a/packages/comfreyarch-core/src/comfreyarch_core/coldstates.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/coldstates.py
@@ -204,7 +204,8 @@
     A copy that is read again, or written again by a restored store, is no newer
     statement of the upstream.
 
-    :returns: start, sequence, and position only without a sequence.
+    :returns: start, sequence or -1, and position only without a sequence.
     """
-    listed = 0 if entry.sequence else entry.listed
-    return (entry.started_ms, entry.sequence, listed)
+    if entry.sequence is None:
+        return (entry.started_ms, -1, entry.listed)
+    return (entry.started_ms, entry.sequence, 0)
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -32,7 +32,8 @@
     :param listed: position of the store at which the entry was written.
     :param started_ms: Unix time in ms at which the upstream says it started, 0
         if unknown.
-    :param sequence: number of its report, which starts anew with it.
+    :param sequence: number of its report, which starts anew with it; None if
+        not stated.
     """
 
     name: str
@@ -44,7 +45,7 @@
     cold_s: float | None = None
     listed: int = 0
     started_ms: int = 0
-    sequence: int = 0
+    sequence: int | None = None
 
     def is_replaced_by(self, other: 'UpstreamEntry') -> bool:
         """Check whether another upstream has taken over the address.
@@ -120,10 +121,12 @@
         former = known or self.removed.get(entry.name)
         if former is None or former.started_ms != entry.started_ms:
             return False
+        if entry.sequence is None or former.sequence is None:
+            return False
         if known is None:
             # Once removed, the upstream must have reported since.
-            return 0 < entry.sequence <= former.sequence
-        return 0 < entry.sequence < known.sequence
+            return entry.sequence <= former.sequence
+        return entry.sequence < former.sequence
 
     def forget(self, name: str) -> None:
         """Remove an entry, and remember what it said last."""
--- a/tests/test_upstreamlist.py
+++ b/tests/test_upstreamlist.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from comfreyarch_core.upstreamlist import (
     LAPSE_GRACE_S,
     UpstreamEntry,
@@ -106,6 +108,28 @@
     assert not upstreams.entries
 
 
+# Fails if the sequence 0 of a first report is read as no sequence.
+@pytest.mark.parametrize('is_removed', [True, False])
+def test_the_first_report_in_an_older_copy_is_outdated(is_removed):
+    upstreams = make_upstream_list()
+    first = replace(READY, sequence=0)
+    upstreams.change(first)
+    upstreams.change(LEAVING)
+    if is_removed:
+        upstreams.drop('one', 10)
+    upstreams.change(replace(first, listed=9))
+    assert [entry.leaving for entry in upstreams.entries.values()] == (
+        [] if is_removed else [True]
+    )
+
+
+def test_an_entry_without_sequence_is_never_outdated():
+    upstreams = make_upstream_list()
+    upstreams.change(LEAVING)
+    upstreams.change(replace(READY, sequence=None, listed=9))
+    assert not upstreams.entries['one'].leaving
+
+
 def test_an_upstream_that_was_removed_and_reports_again_is_back():
     upstreams = make_upstream_list()
     upstreams.change(READY)
