Keep one unreadable row from hiding the others

Cause: msgspec raises RecursionError for deeply nested JSON, float() OverflowError for a long integer, and repr() RecursionError in the error message itself. The listener expects ValueError, so the error ended the watch of the table for good. The evidence was a trace on standard error and a count of store calls that stood still; neither is a log line.

- decode_json is the only reader of other processes' JSON and raises JsonError.
- The listener leaves out a row whose reading fails.
A change that fails as a whole is delivered again with the next answer of the store.
- spawn_loop runs the background loops of both stacks: an unexpected error is logged (part_failed), counted, and the loop starts again after a growing pause.
- The instance list of the table service is read instance by instance.

EntryRegistration is moved out of DirectNode unchanged. test_events now also finds events that are written through a parameter named log.

--- a/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/tabletracker.py
@@ -143,6 +143,15 @@
             return row.version
         return self.tombstones.get(key, -1)
 
+    def known_change(self) -> Change:
+        """Return all that is known as one change, for a repeated delivery.
+
+        :returns: the known rows, and the keys of recently removed ones.
+        """
+        return Change(
+            tuple(self.rows.values()), tuple(self.tombstones), self.version
+        )
+
     def snapshot(self) -> TableState:
         """Return the whole table as it is known.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/attemptserver.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/attemptserver.py
@@ -15,6 +15,7 @@
 from comfreyarch_daemon.linktransport import Link
 from comfreyarch_daemon.node import Node
 from comfreyarch_daemon.pendingcalls import PendingCall, digest_call
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamclient import (
     CallLost,
     CallNotSent,
@@ -79,7 +80,7 @@
     def start(self) -> None:
         """Start the deadline check and the claim driver."""
         self.claim_driver.start()
-        self.greenlet = gevent.spawn(self.tick_loop)
+        self.greenlet = spawn_loop('attempt deadlines', self.tick_loop)
 
     def close(self) -> None:
         """Stop serving; attempts in progress are cut off."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/claimdriver.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/claimdriver.py
@@ -22,6 +22,7 @@
     WriteOutcome,
     Written,
 )
+from comfreyarch_daemon.supervision import spawn_loop
 
 CLAIM_TABLE = 'claims'
 # Maximum number of rows written in one transaction.
@@ -120,8 +121,8 @@
     def start(self) -> None:
         """Start writing and retrying claims."""
         self.greenlets = [
-            gevent.spawn(self.write_loop),
-            gevent.spawn(self.retry_loop),
+            spawn_loop('claim writes', self.write_loop),
+            spawn_loop('claim retries', self.retry_loop),
         ]
 
     def close(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/coordinatorrole.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/coordinatorrole.py
@@ -31,6 +31,7 @@
 from comfreyarch_daemon.store import (
     StoreClient,
 )
+from comfreyarch_daemon.supervision import spawn_loop
 
 TICK_INTERVAL_S = 0.25
 
@@ -103,7 +104,7 @@
 
     def start(self) -> None:
         """Start taking part in the election."""
-        self.greenlet = gevent.spawn(self.run)
+        self.greenlet = spawn_loop('coordinator', self.run)
 
     def close(self) -> None:
         """Stop; the lease expires by itself."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/datagrams.py
@@ -21,6 +21,7 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.sendpolicies import select_policy
 from comfreyarch_daemon.settings import split_address
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Exceptions that decoding a malformed message, or one of another release, may
@@ -92,9 +93,9 @@
         """
         self.sock.bind(split_address(self.address))
         self.workers = [
-            gevent.spawn(self.listen),
-            gevent.spawn(self.send_waiting),
-            gevent.spawn(self.log_summaries),
+            spawn_loop('datagrams received', self.listen),
+            spawn_loop('datagrams sent', self.send_waiting),
+            spawn_loop('datagram summaries', self.log_summaries),
         ]
 
     def close(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -10,6 +10,7 @@
 from comfreyarch_core.fleetload import EntryLoad
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.directentry import DirectEntry
+from comfreyarch_daemon.entryregistration import EntryRegistration
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.healthmessages import (
     HEALTH,
@@ -26,17 +27,18 @@
 )
 from comfreyarch_daemon.nodeprocess import NodeControls, run_node
 from comfreyarch_daemon.operatorpages import OperatorPages
-from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.settingsfile import SettingsFileWatcher
+from comfreyarch_daemon.settingsfile import (
+    SettingsFileWatcher,
+    reread_settings,
+)
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.tablelisteners import (
     ConfigurationListener,
     EntryAdapter,
     UpstreamsListener,
 )
 from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
-from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.tablesync import TableSync
-from comfreyarch_daemon.tablewatch import FIRST_RETRY_S, LONGEST_RETRY_S
 from comfreyarch_daemon.upstreamcalls import boot_time
 from comfreyarch_daemon.waitmetrics import report_waiting
 
@@ -53,9 +55,6 @@
 ACCEPT_ALL_S = 3.0
 # Interval at which a draining entry checks for open requests.
 DRAIN_CHECK_INTERVAL_S = 0.05
-# Interval for listing entries and sidecars in the store; entries also learn
-# about new peers from their datagrams.
-PEER_LIST_INTERVAL_S = 60.0
 # Safety margin before the platform forcibly ends the process.
 GRACE_MARGIN_S = 0.6
 
@@ -63,8 +62,6 @@
 class DirectNode:
     """Own a direct entry with its servers, tables and background tasks.
 
-    :param registered_era: era of the store in which this entry registered.
-    :param registration_due: set to register at once.
     :param sidecars: addresses of the known sidecars.
     :param stopping: whether a graceful shutdown has begun.
     :param stopped: set once all components are stopped.
@@ -79,12 +76,9 @@
         'log',
         'metrics',
         'path',
-        'peer_directory',
-        'registered_era',
-        'registration_due',
+        'registration',
         'settings',
         'settings_file',
-        'sidecar_directory',
         'sidecars',
         'stopped',
         'stopping',
@@ -125,8 +119,6 @@
             ),
         ]
         dispatcher = self.entry.dispatcher
-        self.peer_directory = adapter.open_peers(settings)
-        self.sidecar_directory = adapter.open_sidecars(settings)
         self.datagrams = Datagrams(
             settings.peers, self.log, settings.link_bytes_per_s
         )
@@ -172,8 +164,14 @@
         )
         self.sidecars: set[str] = set()
         self.workers: list[gevent.Greenlet] = []
-        self.registered_era = 0
-        self.registration_due = Event()
+        self.registration = EntryRegistration(
+            settings.node,
+            settings.peers,
+            adapter.open_peers(settings),
+            adapter.open_sidecars(settings),
+            self.add_listed_nodes,
+            self.log,
+        )
         self.stopped = Event()
         self.settings_file = SettingsFileWatcher(path, self.reload)
         self.stopping = False
@@ -202,15 +200,16 @@
         self.datagrams.start()
         self.load_gossip.start()
         self.settings_file.start()
+        self.registration.start()
         self.workers = [
-            gevent.spawn(self.run_periodic_tasks),
-            gevent.spawn(self.refresh_peers),
+            spawn_loop('periodic tasks', self.run_periodic_tasks),
         ]
 
     def close(self) -> None:
         """Stop all components."""
         for worker in self.workers:
             worker.kill(block=False)
+        self.registration.close()
         self.settings_file.close()
         self.load_gossip.close()
         self.datagrams.close()
@@ -231,7 +230,7 @@
                 self.send_hello()
                 self.entry.forwarder.crash_guard.tick()
             self.upstreams.tick()
-            self.check_era()
+            self.registration.check_era(self.tables.era())
             entries = self.load_gossip.count_entries()
             if entries is not None:
                 self.entry.forwarder.entry_count.record(entries, boot_time())
@@ -242,37 +241,14 @@
             self.entry.forwarder.cold.report(self.load_gossip.members())
             self.entry.forwarder.pool.trim()
 
-    def check_era(self) -> None:
-        """Register again if the store was restored, as it may lack this entry."""
-        era = self.tables.era()
-        if era > self.registered_era:
-            self.registered_era = era
-            self.registration_due.set()
-
-    def refresh_peers(self) -> None:
-        """Register this entry and list the others, periodically."""
-        pause = FIRST_RETRY_S
-        while True:
-            try:
-                self.peer_directory.join(
-                    self.settings.node,
-                    self.settings.peers,
-                )
-                members = self.peer_directory.members()
-                sidecars = self.sidecar_directory.members()
-            except StoreCallFailed as error:
-                self.log.write('peers_unknown', why=str(error))
-                gevent.sleep(pause)
-                pause = min(LONGEST_RETRY_S, pause * 2)
-                continue
-            self.load_gossip.add_members(members)
-            self.entry.forwarder.crash_guard.gossip.request()
-            self.sidecars |= set(sidecars.values())
-            self.send_hello()
-            self.log.write('peers_listed', peers=len(members))
-            pause = FIRST_RETRY_S
-            self.registration_due.wait(PEER_LIST_INTERVAL_S)
-            self.registration_due.clear()
+    def add_listed_nodes(
+        self, entries: dict[str, str], sidecars: set[str]
+    ) -> None:
+        """Add the entries and sidecars that the store lists."""
+        self.load_gossip.add_members(entries)
+        self.entry.forwarder.crash_guard.gossip.request()
+        self.sidecars |= sidecars
+        self.send_hello()
 
     def send_hello(self) -> None:
         """Ask the sidecars to report the health of their engines."""
@@ -316,10 +292,10 @@
 
     def reload(self) -> None:
         """Reload the settings; keep the current ones if the file is invalid."""
-        try:
-            settings = self.adapter.read_settings(self.path)
-        except SettingsError as error:
-            self.log.write('reload_failed', why=str(error))
+        settings = reread_settings(
+            self.adapter.read_settings, self.path, self.log
+        )
+        if settings is None:
             return
         self.log.write('reload', changed=settings != self.settings)
         self.settings = settings
@@ -361,7 +337,12 @@
     def build() -> NodeControls:
         node = DirectNode(adapter, path)
         return NodeControls(
-            node.start, node.terminate, node.reload, node.stopped
+            node.log,
+            node.metrics,
+            node.start,
+            node.terminate,
+            node.reload,
+            node.stopped,
         )
 
     run_node(build)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -29,6 +29,7 @@
     check_hold,
 )
 from comfreyarch_daemon.sharedcrashguard import RequestBarred
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval between checks for slots that become free without an event of this
@@ -73,7 +74,7 @@
 
     def start(self) -> None:
         """Start to check the wait queues periodically."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('wait queues', self.run)
 
     def close(self) -> None:
         """Stop the periodic checks."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/engineclient.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/engineclient.py
@@ -17,6 +17,7 @@
     Prepare,
     RankState,
 )
+from comfreyarch_daemon.jsondecoding import decode_json
 
 TIMEOUT_S = 2.0
 HTTP_OK = 200
@@ -153,7 +154,7 @@
         try:
             response = self.http.request(method, path, body)
             content = bytes(response.read())
-            raw = json.loads(content)
+            raw = decode_json(content)
         except (OSError, HTTPParseError, ValueError) as error:
             raise EngineUnavailable(
                 f'engine {method} {path} failed: {error}; '
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/limitgossip.py
@@ -24,6 +24,7 @@
     encode_grant,
     encode_report,
 )
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Limits on the reports sent by an entry, without and with those of changes; the
@@ -92,7 +93,7 @@
 
     def start(self) -> None:
         """Start to send reports while there are limits."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('limit gossip', self.run)
 
     def close(self) -> None:
         """Stop."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/linktransport.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/linktransport.py
@@ -23,6 +23,7 @@
 from comfreyarch_core.frames import AnyFrame, Frame, FrameError
 from comfreyarch_daemon.codec import decode, encode
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.supervision import failure_reports
 
 READ_BYTES = 65536
 # Length of the send queue at which a link is closed.
@@ -202,6 +203,9 @@
                 self.write_now(batch)
             except (OSError, WebSocketException):
                 self.fail('write')
+            except Exception as error:
+                failure_reports.report('link', error)
+                self.fail('internal')
 
     def read_loop(self) -> None:
         """Read frames until the link fails or closes, then close it."""
@@ -211,6 +215,10 @@
             self.fail('bad_frame')
         except (OSError, WebSocketException):
             self.fail('read')
+        except Exception as error:
+            # A link that is open but not read would only time out later.
+            failure_reports.report('link', error)
+            self.fail('internal')
         self.close()
 
     def read_all(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/loadgossip.py
@@ -17,6 +17,7 @@
 from comfreyarch_core.tablefreshness import Confirmation
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Tag of the messages with an entry's load.
@@ -123,7 +124,7 @@
 
     def start(self) -> None:
         """Start sending loads."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('load gossip', self.run)
 
     def close(self) -> None:
         """Stop sending loads."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/logs.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/logs.py
@@ -6,6 +6,9 @@
 
 from absl import logging
 
+from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.supervision import FailureReporter, format_trace
+
 LEVELS = {
     'error': logging.ERROR,
     'warning': logging.WARNING,
@@ -69,3 +72,16 @@
     :param fields: details, added to the line as fields.
     """
     logging.get_absl_logger().error(event, extra={'facts': fields})
+
+
+def make_log_reporter(metrics: Metrics) -> FailureReporter:
+    """Create a reporter of unexpected errors that logs and counts them.
+
+    :returns: the reporter, for ``supervision.failure_reports.report``.
+    """
+
+    def report(name: str, error: Exception) -> None:
+        log_error('part failed', part=name, why=format_trace(error))
+        metrics.count('part_failures', part=name)
+
+    return report
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/main.py
@@ -11,7 +11,11 @@
 from gevent.event import Event
 
 from comfreyarch_daemon.entry import EntryRole
-from comfreyarch_daemon.logs import configure_logging, log_change
+from comfreyarch_daemon.logs import (
+    configure_logging,
+    log_change,
+    make_log_reporter,
+)
 from comfreyarch_daemon.node import Node
 from comfreyarch_daemon.operatorserver import OperatorServer
 from comfreyarch_daemon.settings import (
@@ -21,6 +25,7 @@
     load_settings,
 )
 from comfreyarch_daemon.sidecar import SidecarRole
+from comfreyarch_daemon.supervision import failure_reports
 
 # Exit status for settings that are invalid or name an address in use.
 EXIT_SETTINGS = 2
@@ -73,6 +78,7 @@
     :raises OSError: if an address is already in use.
     """
     daemon = Daemon(settings, key)
+    failure_reports.report = make_log_reporter(daemon.node.metrics)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         gevent.signal_handler(
             signal_number, gevent.spawn, daemon.stop_gracefully
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/mapleader.py
@@ -43,6 +43,7 @@
 from comfreyarch_daemon.orderdelivery import OrderDelivery, OrderSender
 from comfreyarch_daemon.sidecarmessages import ExpertCounts, StateReport
 from comfreyarch_daemon.silentranks import FIRST_REPORT_S, SilentRanks
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -199,8 +200,8 @@
     def start(self) -> None:
         """Start leading."""
         self.workers = [
-            gevent.spawn(self.tick),
-            gevent.spawn(self.run_planning),
+            spawn_loop('map control', self.tick),
+            spawn_loop('map planning', self.run_planning),
         ]
 
     def close(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/maprules.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/maprules.py
@@ -6,6 +6,7 @@
 
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.leadership import MapRules
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -41,7 +42,7 @@
 
     def start(self) -> None:
         """Start reading the rules again while they are used."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('map rules', self.run)
 
     def close(self) -> None:
         """Stop reading."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/nodeprocess.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/nodeprocess.py
@@ -10,7 +10,13 @@
 import gevent
 from gevent.event import Event
 
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.supervision import (
+    failure_reports,
+    make_event_reporter,
+)
 
 EXIT_SETTINGS = 2
 # Most objects are short-lived, so full collections would only cost time.
@@ -25,6 +31,8 @@
     :param reload: reads the settings again.
     """
 
+    log: EventLog
+    metrics: Metrics
     start: Callable[[], None]
     terminate: Callable[[], None]
     reload: Callable[[], None]
@@ -41,6 +49,7 @@
         node = build()
     except (SettingsError, OSError) as error:
         exit_with_error(error)
+    failure_reports.report = make_event_reporter(node.log, node.metrics)
     gevent.signal_handler(signal.SIGTERM, node.terminate)
     gevent.signal_handler(signal.SIGINT, node.terminate)
     gevent.signal_handler(signal.SIGHUP, node.reload)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankagent.py
@@ -23,6 +23,7 @@
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.sidecarmessages import ExpertCounts, RankOrder
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.upstreamcalls import boot_time
 
 # Interval at which the state is read. Reads by the engine's own sidecar cost
@@ -127,7 +128,7 @@
 
     def start(self) -> None:
         """Start polling."""
-        self.workers = [gevent.spawn(self.run)]
+        self.workers = [spawn_loop('engine polls', self.run)]
 
     def close(self) -> None:
         """Stop polling and close the connections."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/ranknode.py
@@ -40,8 +40,10 @@
     encode_state,
 )
 from comfreyarch_daemon.ranksettings import RankAdapter
-from comfreyarch_daemon.settings import SettingsError
-from comfreyarch_daemon.settingsfile import SettingsFileWatcher
+from comfreyarch_daemon.settingsfile import (
+    SettingsFileWatcher,
+    reread_settings,
+)
 from comfreyarch_daemon.sidecarmessages import (
     READINGS_PER_S,
     ExpertCounts,
@@ -49,6 +51,7 @@
     RankOrder,
     StateReport,
 )
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.tablesource import StoreCallFailed
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -167,8 +170,8 @@
         self.settings_file.start()
         self.rules.start()
         self.workers = [
-            gevent.spawn(self.peer_lookup.run),
-            gevent.spawn(self.run_leadership),
+            spawn_loop('peer lookup', self.peer_lookup.run),
+            spawn_loop('leadership', self.run_leadership),
         ]
 
     def close(self) -> None:
@@ -190,10 +193,10 @@
 
         The running parts keep their addresses until the next start.
         """
-        try:
-            settings = self.adapter.read_settings(self.path)
-        except SettingsError as error:
-            self.log.write('reload_failed', why=str(error))
+        settings = reread_settings(
+            self.adapter.read_settings, self.path, self.log
+        )
+        if settings is None:
             return
         self.log.write('reload', changed=settings != self.settings)
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankrole.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/rankrole.py
@@ -19,6 +19,7 @@
     EngineStatus,
     EngineUnavailable,
 )
+from comfreyarch_daemon.supervision import spawn_loop
 
 POLL_INTERVAL_S = 1.0
 
@@ -83,8 +84,8 @@
     def start(self) -> None:
         """Start polling the engine and sending it orders."""
         self.greenlets = [
-            gevent.spawn(self.order_loop),
-            gevent.spawn(self.poll_loop),
+            spawn_loop('engine orders', self.order_loop),
+            spawn_loop('engine polls', self.poll_loop),
         ]
 
     def close(self) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requests.py
@@ -12,6 +12,7 @@
 from comfreyarch_core.configset import ConfigSet
 from comfreyarch_core.objects import Route, Team
 from comfreyarch_core.refusals import Kind, Refusal, not_run
+from comfreyarch_daemon.jsondecoding import decode_json
 
 CHAT_PATH = '/v1/chat/completions'
 SERVICE_PREFIX = '/services'
@@ -252,7 +253,7 @@
         messages.
     """
     try:
-        payload = json.loads(body)
+        payload = decode_json(body)
     except ValueError as error:
         refusal = not_run(Kind.bad_request, detail=f'not JSON: {error}')
         raise BadRequest(refusal) from error
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/settingsfile.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/settingsfile.py
@@ -2,10 +2,31 @@
 
 from collections.abc import Callable
 from pathlib import Path
+from typing import TypeVar
 
 import gevent
 
+from comfreyarch_daemon.eventlog import EventLog
+from comfreyarch_daemon.settings import SettingsError
+from comfreyarch_daemon.supervision import spawn_loop
+
 POLL_INTERVAL_S = 1.0
+Settings = TypeVar('Settings')
+
+
+def reread_settings(
+    read: Callable[[Path], Settings], path: Path, log: EventLog
+) -> Settings | None:
+    """Read a settings file again.
+
+    :param read: reads the file.
+    :returns: the settings, None if they cannot be used, which is logged.
+    """
+    try:
+        return read(path)
+    except SettingsError as error:
+        log.write('reload_failed', why=str(error))
+        return None
 
 
 class SettingsFileWatcher:
@@ -22,7 +43,7 @@
 
     def start(self) -> None:
         """Start polling."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('settings file', self.run)
 
     def close(self) -> None:
         """Stop polling."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecarprocess.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/sidecarprocess.py
@@ -12,6 +12,13 @@
 
     def build() -> NodeControls:
         node = RankNode(adapter, path)
-        return NodeControls(node.start, node.close, node.reload, node.stopped)
+        return NodeControls(
+            node.log,
+            node.metrics,
+            node.start,
+            node.close,
+            node.reload,
+            node.stopped,
+        )
 
     run_node(build)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/store.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/store.py
@@ -10,9 +10,13 @@
 from typing import Any, Protocol
 from urllib.parse import quote
 
+import msgspec
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from comfreyarch_daemon.jsondecoding import decode_json
+from comfreyarch_daemon.logs import log_change
+
 # Maximum number of connections to the service.
 MAX_CONNECTIONS = 8
 HTTP_OK = 200
@@ -256,7 +260,7 @@
         content = bytes(response.read())
         if not response.message_complete:
             raise OSError(f'response to {method} {path} was cut off')
-        return int(response.status_code), json.loads(content or b'{}')
+        return int(response.status_code), decode_json(content or b'{}')
 
     def close(self) -> None:
         """Close all connections."""
@@ -266,16 +270,23 @@
 def parse_instances(content: bytes) -> list[Instance]:
     """Parse the instance list of the service.
 
-    :raises StoreError: if it is malformed.
+    :returns: the instances, without those that cannot be read.
+    :raises StoreError: if it is no list.
     """
     try:
-        fields = json.loads(content)['instances']
-        return [Instance(**instance) for instance in fields]
+        listed = list(decode_json(content)['instances'])
     except (ValueError, KeyError, TypeError) as error:
         raise StoreError(
-            'instance list of the store is not valid JSON or has a missing or '
-            f'invalid field: {error}; check the version of the store',
+            'instance list of the store is not valid JSON or has no list '
+            f"'instances': {error}; check the version of the store",
         ) from error
+    instances = []
+    for raw in listed:
+        try:
+            instances.append(msgspec.convert(raw, Instance))
+        except msgspec.ValidationError as error:
+            log_change('instance unreadable', why=str(error))
+    return instances
 
 
 def parse_rows(raw: Any) -> list[TableRow]:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
@@ -127,7 +127,8 @@
         key = row.key
         try:
             entry = self.adapter.decode_upstream(key, row.content, row.version)
-        except ValueError as error:
+        except Exception as error:
+            # Whatever one row holds, the others are applied.
             if key not in self.malformed:
                 self.malformed.add(key)
                 self.log.write('upstream_unreadable', why=str(error))
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablesync.py
@@ -21,6 +21,7 @@
 from comfreyarch_core.tablelag import TableLag, make_table_lag
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.supervision import spawn_loop
 from comfreyarch_daemon.tablerelay import TableRelay, decode_request
 from comfreyarch_daemon.tablesource import TableListener, TableSource
 from comfreyarch_daemon.tablewatch import TableWatch
@@ -90,7 +91,7 @@
         """Start watching and probing all tables."""
         for watch in self.watches.values():
             watch.start()
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop('probes', self.run)
 
     def close(self) -> None:
         """Stop watching and probing."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablewatch.py
@@ -13,6 +13,7 @@
 )
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.metrics import Metrics
+from comfreyarch_daemon.supervision import failure_reports, spawn_loop
 from comfreyarch_daemon.tablesource import (
     HistoryGone,
     StoreCallFailed,
@@ -48,6 +49,8 @@
     :param is_interrupted: set by ``interrupt``; the next call is then a probe.
     :param is_restarting: whether the call in flight was ended on purpose, to be
         repeated at once.
+    :param is_unapplied: whether the listener failed to apply a change, so that
+        all that is known is delivered again.
     :param is_unreachable: whether the store did not answer the last call.
     :param newest_version: version of the newest row seen.
     :param retry_s: next pause before a retry, without jitter.
@@ -57,6 +60,7 @@
         'freshness',
         'is_interrupted',
         'is_restarting',
+        'is_unapplied',
         'is_unreachable',
         'jitter_source',
         'listener',
@@ -88,6 +92,7 @@
         self.is_unreachable = False
         self.is_interrupted = False
         self.is_restarting = False
+        self.is_unapplied = False
         self.newest_version = 0
         self.retry_s = FIRST_RETRY_S
         # Nodes must not call in step, so the seed differs between them.
@@ -97,7 +102,7 @@
 
     def start(self) -> None:
         """Start watching."""
-        self.worker = gevent.spawn(self.run)
+        self.worker = spawn_loop(f'watch of {self.name}', self.run)
 
     def close(self) -> None:
         """Stop watching."""
@@ -190,10 +195,26 @@
         self.record_newest(state)
         change = self.tracker.changed(state)
         is_changed = bool(change.rows or change.removed)
-        if is_changed:
-            self.listener.apply_change(change)
+        if is_changed or self.is_unapplied:
+            self.deliver(change)
         return is_changed
 
+    def deliver(self, change: Change) -> None:
+        """Pass a change to the listener.
+
+        If the listener fails, the error is reported, and all that is known is
+        delivered with the next answer of the store.
+        """
+        if self.is_unapplied:
+            change = self.tracker.known_change()
+        try:
+            self.listener.apply_change(change)
+        except Exception as error:
+            self.is_unapplied = True
+            failure_reports.report(f'table {self.name}', error)
+        else:
+            self.is_unapplied = False
+
     def apply_snapshot(self, state: TableState) -> bool:
         """Apply a whole table that a peer sent.
 
@@ -289,7 +310,7 @@
             )
             self.listener.store_lost()
             self.listener.store_back()
-        self.listener.apply_change(change)
+        self.deliver(change)
 
     def record_newest(self, state: TableState) -> None:
         """Update the newest known version."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamhealth.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/upstreamhealth.py
@@ -1,12 +1,12 @@
 """Health check of the upstream, which also detects its restarts."""
 
-import json
 from collections.abc import Callable
 
 from gevent import socket
 from geventhttpclient import HTTPClient
 from geventhttpclient.response import HTTPParseError
 
+from comfreyarch_daemon.jsondecoding import decode_json
 from comfreyarch_daemon.logs import log_change
 
 HEALTH_PATH = '/health'
@@ -64,6 +64,6 @@
         finally:
             client.close()
         try:
-            return True, str(json.loads(content).get('incarnation', ''))
+            return True, str(decode_json(content).get('incarnation', ''))
         except (ValueError, AttributeError):
             return True, ''
--- a/tests/group_world.py
+++ b/tests/group_world.py
@@ -24,6 +24,7 @@
     rankagent,
     ranknode,
     silentranks,
+    supervision,
 )
 from comfreyarch_daemon.engineapi import (
     ChosenExperts,
@@ -46,6 +47,7 @@
     rankagent,
     ranknode,
     silentranks,
+    supervision,
 )
 
 
--- a/tests/simulated_tables.py
+++ b/tests/simulated_tables.py
@@ -12,7 +12,7 @@
     version_of,
 )
 from comfreyarch_core.tabletracker import TableRow, TableState
-from comfreyarch_daemon import tablesync, tablewatch
+from comfreyarch_daemon import supervision, tablesync, tablewatch
 from comfreyarch_daemon.metrics import Metrics
 from comfreyarch_daemon.tablerelay import TABLE_PART, TABLE_REQUEST
 from comfreyarch_daemon.tablesource import HistoryGone, StoreCallFailed
@@ -263,7 +263,7 @@
 
     def __init__(self, monkeypatch, entries, faults, unlinked=()):
         self.clock = VirtualClock()
-        for module in (tablesync, tablewatch):
+        for module in (supervision, tablesync, tablewatch):
             monkeypatch.setattr(module, 'gevent', self.clock)
             if hasattr(module, 'boot_time'):
                 monkeypatch.setattr(module, 'boot_time', self.clock.boot_time)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-WRITES = re.compile(r"\.log\.write\(\s*'([a-z_]+)'")
+WRITES = re.compile(r"\blog\.write\(\s*'([a-z_]+)'")
 LISTED = re.compile(r'^\| `([a-z_]+)` \|', re.MULTILINE)
 
 
