Choose among list entries with one address each time

Cause: of several entries with one address the list kept the one that started or was written last and forgot the others, whatever the service of the row. An upstream that goes on writes no change of the table, so it never came back.

The list now keeps all entries and decides for each address: an entry of a configured service first, then one whose address did not answer for another upstream, then the one that states more, and the later one as before. A status 421 gives the address back. An unused entry that is still listed does not count as a crash. upstream_unused says which entry is used.

--- a/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/routetable.py
@@ -200,6 +200,19 @@
             return 0
         return found.engine.min_passes(prompt_tokens, answer_tokens)
 
+    def service_names(self) -> frozenset[str]:
+        """Return the names of all services, of routes and in the list.
+
+        :returns: service names.
+        """
+        routes = (
+            route
+            for prefixes in self.hosts.values()
+            for route in prefixes.values()
+        )
+        named = {share.service for route in routes for share in route.services}
+        return frozenset(named | self.services.keys())
+
     def team_of(self, key: str) -> Team | None:
         """Find the team that holds a key.
 
--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -8,9 +8,14 @@
 A store that is restored from an older copy lists upstreams as they were: one
 that has left since, or is leaving, as ready. What an upstream says of itself is
 ordered by its start and its own sequence, so an older entry is not taken.
+
+Several entries may have the same address: the upstreams that had it before may
+still be listed, and other writers may list upstreams that do not exist. One of
+them is used. The others stay listed, so that a wrong choice does not last.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 # Grace period: live upstreams are listed again about 2 s after the store
@@ -47,12 +52,23 @@
     started_ms: int = 0
     sequence: int | None = None
 
+    def count_stated(self) -> int:
+        """Return how many of the optional fields are stated.
+
+        :returns: 0 to 3.
+        """
+        optional = (self.started_ms or None, self.sequence, self.cold_s)
+        return sum(1 for stated in optional if stated is not None)
+
     def is_replaced_by(self, other: 'UpstreamEntry') -> bool:
         """Check whether another upstream has taken over the address.
 
-        :returns: True if the other one started later; if that is unknown, if
-            its entry was written later.
+        :returns: True if the other entry states more; if both state as much, if
+            the other upstream started later, or, if that is unknown, if its
+            entry was written later.
         """
+        if self.count_stated() != other.count_stated():
+            return other.count_stated() > self.count_stated()
         if self.started_ms and other.started_ms:
             return other.started_ms > self.started_ms
         return other.listed >= self.listed
@@ -62,7 +78,11 @@
 class UpstreamList:
     """Maintain the upstreams that an entry may send requests to.
 
-    :param entries: the usable upstreams, by name.
+    :param listed: the upstreams in the list, by name.
+    :param services: names of the configured services; empty before the first
+        configuration.
+    :param misdirected_at: when another upstream last answered at the address
+        of an entry, by name.
     :param removed: last entries of the upstreams that were removed, by name.
     :param missing: names that the list no longer has, kept for the grace
         period.
@@ -70,12 +90,54 @@
     :param grace_until: end of the grace period.
     """
 
-    entries: dict[str, UpstreamEntry] = field(default_factory=dict)
+    listed: dict[str, UpstreamEntry] = field(default_factory=dict)
+    services: Collection[str] = ()
+    misdirected_at: dict[str, float] = field(default_factory=dict)
     removed: dict[str, UpstreamEntry] = field(default_factory=dict)
     missing: set[str] = field(default_factory=set)
     is_store_down: bool = False
     grace_until: float = 0
 
+    @property
+    def entries(self) -> dict[str, UpstreamEntry]:
+        """Return the usable upstreams, one for each address.
+
+        :returns: entries by name.
+        """
+        by_address: dict[str, UpstreamEntry] = {}
+        for entry in self.listed.values():
+            other = by_address.get(entry.address)
+            if other is None or self.is_preferred(entry, other):
+                by_address[entry.address] = entry
+        return {usable.name: usable for usable in by_address.values()}
+
+    def is_preferred(self, entry: UpstreamEntry, other: UpstreamEntry) -> bool:
+        """Check which of two entries is used that have the same address.
+
+        :returns: True for the one whose service is configured; if both are, for
+            the one whose address answered least recently for another upstream;
+            then for the one that has replaced the other.
+        """
+        is_known = entry.service in self.services
+        if is_known != (other.service in self.services):
+            return is_known
+        misdirected_at = self.misdirected_at.get(entry.name, -math.inf)
+        other_at = self.misdirected_at.get(other.name, -math.inf)
+        if misdirected_at != other_at:
+            return misdirected_at < other_at
+        return other.is_replaced_by(entry)
+
+    def record_misdirected(self, name: str, now: float) -> bool:
+        """Record that another upstream answered at the address of an entry.
+
+        :returns: whether another entry with the address is used from now on.
+        """
+        entry = self.entries.get(name)
+        if entry is None:
+            return False
+        self.misdirected_at[name] = now
+        return name not in self.entries
+
     def store_lost(self) -> None:
         """Record that the store does not answer."""
         self.is_store_down = True
@@ -89,35 +151,26 @@
     def replace(self, entries: Iterable[UpstreamEntry], now: float) -> None:
         """Replace the list with one that was read in full."""
         listed = {entry.name: entry for entry in entries}
-        for name in self.entries.keys() - listed.keys():
+        for name in self.listed.keys() - listed.keys():
             self.drop(name, now)
         for entry in listed.values():
             self.change(entry)
 
     def change(self, entry: UpstreamEntry) -> None:
-        """Add or update one entry, unless it is older than what is known.
-
-        Of several entries with the same address only the newest is kept: the
-        others belong to upstreams that ended.
-        """
+        """Add or update one entry, unless it is older than what is known."""
         if self.is_outdated(entry):
             return
-        for other in list(self.entries.values()):
-            if other.name == entry.name or other.address != entry.address:
-                continue
-            if not other.is_replaced_by(entry):
-                return
-            self.forget(other.name)
         self.missing.discard(entry.name)
         self.removed.pop(entry.name, None)
-        self.entries[entry.name] = entry
+        self.misdirected_at.pop(entry.name, None)
+        self.listed[entry.name] = entry
 
     def is_outdated(self, entry: UpstreamEntry) -> bool:
         """Check whether an entry is older than one that was seen before.
 
         :returns: False if the upstream has started anew, or states no sequence.
         """
-        known = self.entries.get(entry.name)
+        known = self.listed.get(entry.name)
         former = known or self.removed.get(entry.name)
         if former is None or former.started_ms != entry.started_ms:
             return False
@@ -131,8 +184,9 @@
     def forget(self, name: str) -> None:
         """Remove an entry, and remember what it said last."""
         self.removed.pop(name, None)
-        self.removed[name] = self.entries.pop(name)
+        self.removed[name] = self.listed.pop(name)
         self.missing.discard(name)
+        self.misdirected_at.pop(name, None)
         if len(self.removed) > MAX_REMOVED:
             self.removed.pop(next(iter(self.removed)))
 
@@ -143,7 +197,7 @@
         answer this node, a peer reports the removal, for which the outage may
         have just ended: a grace period begins with it.
         """
-        entry = self.entries.get(name)
+        entry = self.listed.get(name)
         if entry is None:
             return
         if self.is_store_down:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -1,7 +1,7 @@
 """Answer callers at an entry that sends directly to upstreams."""
 
 import json
-from collections.abc import Generator, Iterable
+from collections.abc import Collection, Generator, Iterable
 from typing import Any
 
 from gevent.event import Event
@@ -181,15 +181,22 @@
             keys=len(table.teams),
         )
 
-    def replace_upstreams(self, entries: Iterable[UpstreamEntry]) -> None:
+    def replace_upstreams(
+        self,
+        entries: Iterable[UpstreamEntry],
+        unused: Collection[str] = (),
+    ) -> None:
         """Replace the list of upstreams; one that is gone counts as dead.
 
         An upstream that was leaving is expected to go and does not count.
+
+        :param unused: names of upstreams that are listed, but not used, as
+            another one has their address.
         """
         upstreams = list(entries)
         names = {entry.name for entry in upstreams}
         selector = self.forwarder.selector
-        for name in selector.views.keys() - names:
+        for name in selector.views.keys() - names - set(unused):
             entry = selector.views[name].entry
             if not selector.announcements.is_leaving(entry):
                 self.forwarder.crash_guard.record_upstream_death(name)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -152,6 +152,8 @@
         self.datagrams.handlers[HEALTH] = self.update_health
         self.datagrams.handlers[LEAVING] = self.handle_leaving
         self.entry.forwarder.on_leaving = self.send_leaving
+        self.entry.forwarder.on_misdirected = self.upstreams.record_misdirected
+        configurations.on_services = self.upstreams.apply_services
         self.datagrams.handlers[TABLE_REQUEST] = self.tables.handle_request
         self.datagrams.handlers[TABLE_PART] = self.tables.handle_part
         self.entry.forwarder.crash_guard.gossip.share(
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -145,6 +145,8 @@
     :param started_at: start of the entry.
     :param on_leaving: called with the name of an upstream whose answer
         announces that it leaves.
+    :param on_misdirected: called with the name of an upstream at whose address
+        another one answered.
     :param crash_guard: bars what crashes upstreams.
     :param limits: request limits that upstreams announce.
     :param cold: upstreams that are cold after their start.
@@ -163,6 +165,7 @@
         'log',
         'metrics',
         'on_leaving',
+        'on_misdirected',
         'pool',
         'random_source',
         'retry_limits',
@@ -199,6 +202,7 @@
         self.entry_count = EntryCount(retry_limits.window_s)
         self.entry_count.record(ASSUMED_ENTRIES, self.started_at)
         self.on_leaving: Callable[[str], None] = ignore
+        self.on_misdirected: Callable[[str], None] = ignore
         self.random_source: random.Random = self.selector.source
         self.senders: set[Cancellable] = set()
         self.zone_control.on_ended = self.cold.presume_cold
@@ -289,4 +293,4 @@
 
 
 def ignore(_name: str) -> None:
-    """Do nothing; the default for ``Forwarder.on_leaving``."""
+    """Do nothing; the default of the callbacks of ``Forwarder``."""
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -585,6 +585,7 @@
                 selector.rejected(name, now)
             case SendFailure.replaced:
                 selector.replaced(name, now)
+                self.forwarder.on_misdirected(name)
             case SendFailure.failed:
                 selector.returned_error(name)
             case SendFailure.unreachable:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/tablelisteners.py
@@ -1,6 +1,6 @@
 """Apply changes of the store's tables to a direct entry."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -46,15 +46,19 @@
 
 
 class ConfigurationListener:
-    """Apply configurations and evacuations from the store to an entry."""
+    """Apply configurations and evacuations from the store to an entry.
 
-    __slots__ = ('adapter', 'entry', 'log')
+    :param on_services: called with the names of the configured services.
+    """
+
+    __slots__ = ('adapter', 'entry', 'log', 'on_services')
 
     def __init__(self, adapter: EntryAdapter, entry: DirectEntry) -> None:
         """Apply configurations to ``entry``."""
         self.adapter = adapter
         self.entry = entry
         self.log = entry.log
+        self.on_services: Callable[[frozenset[str]], None] = ignore_services
 
     def apply_change(self, change: Change) -> None:
         """Apply the row of the configuration; log one that is unreadable."""
@@ -68,6 +72,8 @@
                 self.log.write('configuration_unreadable', why=str(error))
                 continue
             self.entry.apply_configuration(table)
+            if self.entry.table is not None:
+                self.on_services(self.entry.table.service_names())
 
     def apply_evacuations(self, change: Change) -> None:
         """Start the evacuations requested by rows; end those of removed rows.
@@ -96,9 +102,17 @@
     :param upstream_list: upstreams listed in the store, or kept until they
         lapse.
     :param malformed: keys of malformed rows that are logged already.
+    :param unused: upstreams at whose address another one is used, by name.
     """
 
-    __slots__ = ('adapter', 'entry', 'log', 'malformed', 'upstream_list')
+    __slots__ = (
+        'adapter',
+        'entry',
+        'log',
+        'malformed',
+        'unused',
+        'upstream_list',
+    )
 
     def __init__(self, adapter: EntryAdapter, entry: DirectEntry) -> None:
         """Apply upstreams to ``entry``."""
@@ -107,6 +121,7 @@
         self.log = entry.log
         self.upstream_list = make_upstream_list()
         self.malformed: set[str] = set()
+        self.unused: dict[str, str] = {}
 
     def apply_change(self, change: Change) -> None:
         """Apply changed and removed rows of upstreams."""
@@ -118,9 +133,42 @@
             self.log.write(
                 'upstream_removed',
                 upstream=key,
-                kept=key in self.upstream_list.entries,
+                kept=key in self.upstream_list.listed,
             )
-        self.entry.replace_upstreams(self.upstream_list.entries.values())
+        self.use_upstreams()
+
+    def use_upstreams(self) -> None:
+        """Pass the usable upstreams to the entry, and log the others."""
+        used = self.upstream_list.entries
+        by_address = {entry.address: entry for entry in used.values()}
+        unused = {
+            entry.name: by_address[entry.address].name
+            for entry in self.upstream_list.listed.values()
+            if entry.name not in used
+        }
+        for name, other in unused.items():
+            if self.unused.get(name) != other:
+                entry = self.upstream_list.listed[name]
+                self.log.write(
+                    'upstream_unused',
+                    upstream=name,
+                    service=entry.service,
+                    address=entry.address,
+                    used=other,
+                )
+        self.unused = unused
+        self.entry.replace_upstreams(used.values(), unused)
+
+    def apply_services(self, services: Collection[str]) -> None:
+        """Apply the names of the configured services."""
+        if self.upstream_list.services != services:
+            self.upstream_list.services = services
+            self.use_upstreams()
+
+    def record_misdirected(self, name: str) -> None:
+        """Handle that another upstream answered at the address of one."""
+        if self.upstream_list.record_misdirected(name, boot_time()):
+            self.use_upstreams()
 
     def apply_row(self, row: TableRow) -> None:
         """Apply a changed row; a malformed one is logged once per key."""
@@ -133,7 +181,7 @@
                 self.malformed.add(key)
                 self.log.write('upstream_unreadable', why=str(error))
             return
-        previous = self.upstream_list.entries.get(key)
+        previous = self.upstream_list.listed.get(key)
         self.upstream_list.change(entry)
         if previous is None or previous.leaving != entry.leaving:
             self.log.write(
@@ -157,4 +205,8 @@
         lapsed = self.upstream_list.expire(boot_time())
         if lapsed:
             self.log.write('upstreams_lapsed', upstreams=lapsed)
-            self.entry.replace_upstreams(self.upstream_list.entries.values())
+            self.use_upstreams()
+
+
+def ignore_services(_services: frozenset[str]) -> None:
+    """Do nothing; the default for ``ConfigurationListener.on_services``."""
