Refuse in time what waits for a slot at an exiting entry

Cause: whether an answer ends before the exit was decided once, from its tokens. The waits that follow (slot, connection, body, slot again after a failed send) were bound by the caller's deadline only, which lies after the exit. The log shows answers of 0.2 s after waits of 1.1 to 2 s, and requests that were never sent.

PlannedExit bounds every wait for a slot by the exit less the time that the request needs, also of those that wait when the signal comes. The rest is refused with 'leaving' and a short Retry-After. The check is repeated once the body is read and once a connection is open; a request counts as open from its first line. Requests past their latest start are refused before free slots are assigned.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from comfreyarch_core.drainadmission import can_finish_before
+from comfreyarch_core.drainadmission import LAST_START_S, PlannedExit
 from comfreyarch_core.refusals import Kind, Refusal, not_run
 from comfreyarch_core.routetable import CallerLimits, Route, RouteTable
 from comfreyarch_core.upstreamlist import UpstreamEntry
@@ -25,9 +25,10 @@
     read_body,
 )
 from comfreyarch_daemon.directsettings import DirectSettings
-from comfreyarch_daemon.dispatching import Dispatcher
+from comfreyarch_daemon.dispatching import Dispatcher, limit_starts
 from comfreyarch_daemon.eventlog import EventLog
 from comfreyarch_daemon.forwarding import (
+    UNAVAILABLE_RETRY_AFTER_S,
     AnswerAborted,
     AnswerPart,
     AnswerStart,
@@ -43,9 +44,6 @@
 from comfreyarch_daemon.statuslines import StartResponse, status_line
 from comfreyarch_daemon.upstreamcalls import boot_time
 
-# Time after which callers should retry requests that are refused while the
-# entry has no configuration or is leaving.
-UNAVAILABLE_RETRY_AFTER_S = 0.05
 # Time for which a request waits for the first configuration. The store
 # answers within it even when it is slow.
 FIRST_TABLE_TIMEOUT_S = 0.5
@@ -58,14 +56,11 @@
     :param first_table: set once there is a configuration.
     :param open_requests: number of requests in flight.
     :param leaving: whether the entry is draining before it stops.
-    :param ends_at: time at which a leaving entry stops; None while it still
-        accepts all requests.
     :param idle_sockets: connections of callers without a request.
     """
 
     __slots__ = (
         'dispatcher',
-        'ends_at',
         'first_table',
         'forwarder',
         'header_codec',
@@ -107,7 +102,6 @@
         self.first_table = Event()
         self.open_requests = 0
         self.leaving = False
-        self.ends_at: float | None = None
         self.idle_sockets: set[Any] = set()
         self.server = WSGIServer(
             open_listener(settings.callers),
@@ -132,17 +126,28 @@
         head = self.header_codec.read_call(headers)
         closing = [('Connection', 'close')] if self.leaving else []
         refusal_headers = [*closing, *self.header_codec.attempt_headers(head)]
+        self.open_requests += 1
         try:
             call = self.read_call(environ, head, received_at)
         except RefusedCall as error:
+            self.open_requests -= 1
             return self.refuse(
                 error.refusal,
                 head,
                 refusal_headers,
                 start_response,
             )
+        except BaseException:
+            self.open_requests -= 1
+            raise
         return self.respond(call, caller_handler, closing, start_response)
 
+    def begin_exit(self, planned_exit: PlannedExit) -> None:
+        """Begin a planned stop: refuse what cannot end before the exit."""
+        self.leaving = True
+        self.forwarder.planned_exit = planned_exit
+        limit_starts(self.dispatcher, planned_exit.exits_at - LAST_START_S)
+
     def start(self) -> None:
         """Start to accept connections of callers."""
         self.dispatcher.start()
@@ -257,6 +262,8 @@
         self.check_can_finish(route, head)
         team = find_team(table, route, head)
         body = read_body(environ, table.limits)
+        # The body may have taken a while to arrive.
+        self.check_can_finish(route, head)
         left_s = route.timeout_s
         if head.left_s is not None:
             left_s = min(left_s, head.left_s)
@@ -287,14 +294,9 @@
 
         :raises RefusedCall: if it may not finish in time.
         """
-        ends_at = self.ends_at
-        if ends_at is None:
-            return
-        if not can_finish_before(
-            route,
-            head.answer_tokens,
-            boot_time(),
-            ends_at,
+        planned_exit = self.forwarder.planned_exit
+        if planned_exit is not None and not planned_exit.accepts(
+            route, head.answer_tokens, boot_time()
         ):
             raise RefusedCall(not_run(Kind.leaving, UNAVAILABLE_RETRY_AFTER_S))
 
@@ -324,7 +326,6 @@
         :returns: the body.
         :raises TypeError: if the answer has no start.
         """
-        self.open_requests += 1
         watch = DisconnectWatcher(
             caller_handler.socket,
             lambda: self.log_caller_left(call),
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.event import Event
 
+from comfreyarch_core.drainadmission import PlannedExit
 from comfreyarch_core.fleetload import EntryLoad
 from comfreyarch_daemon.datagrams import Datagrams
 from comfreyarch_daemon.directentry import DirectEntry
@@ -51,8 +52,9 @@
 # Time within which the balancer in front stops routing to a leaving entry.
 BALANCER_REMOVAL_S = 2.3
 # Time after a stop signal from which new requests are refused when they may
-# not complete before the forced end.
-ACCEPT_ALL_S = 3.0
+# not complete before the forced end. Callers may be cut off only if they sent
+# their request within 3 s of the signal, which takes a moment to arrive.
+ACCEPT_ALL_S = 2.8
 # Interval at which a draining entry checks for open requests.
 DRAIN_CHECK_INTERVAL_S = 0.05
 # Safety margin before the platform forcibly ends the process.
@@ -315,17 +317,15 @@
 
         The balancer in front still routes to this entry for a while, so new
         requests are accepted; later only those that complete before the
-        forced end.
+        forced end. Those that wait for a slot are refused in time.
         """
         started_at = boot_time()
         end = started_at + self.settings.grace_s - GRACE_MARGIN_S
-        self.entry.leaving = True
+        self.entry.begin_exit(PlannedExit(end, started_at + ACCEPT_ALL_S))
         self.entry.forwarder.limits.gossip.leave()
         self.log.write('stopping', open_requests=self.entry.open_requests)
         gevent.sleep(BALANCER_REMOVAL_S)
         while self.entry.open_requests and boot_time() < end:
-            if boot_time() - started_at > ACCEPT_ALL_S:
-                self.entry.ends_at = end
             gevent.sleep(DRAIN_CHECK_INTERVAL_S)
         self.close()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatcherrors.py
@@ -28,6 +28,7 @@
     late_start = 'late_start'
     late_end = 'late_end'
     timeout = 'timeout'
+    leaving = 'leaving'
 
 
 class DispatchError(Exception):
@@ -125,3 +126,23 @@
     return DispatchError(
         why, math.inf, has_upstreams=True, reason=RefusalReason.late_end
     )
+
+
+def make_timeout_error(queue: WaitQueue, draw: float) -> DispatchError:
+    """Create the error of a request that waited until its latest start.
+
+    :param draw: random number from 0 to 1.
+    :returns: the error.
+    """
+    why = (
+        f'no slot became free in time; {len(queue.waiters)} requests are queued'
+    )
+    retry_after_s = queue.drain_s()
+    if not queue.is_limited:
+        retry_after_s = spread_retry_s(retry_after_s, draw)
+    return DispatchError(
+        why,
+        retry_after_s,
+        has_upstreams=True,
+        reason=RefusalReason.timeout,
+    )
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -19,9 +19,8 @@
 from comfreyarch_core.waitqueue import WaitQueue, make_wait_queue
 from comfreyarch_daemon.dispatcherrors import (
     DispatchError,
-    RefusalReason,
     make_late_error,
-    spread_retry_s,
+    make_timeout_error,
 )
 from comfreyarch_daemon.placementchecks import (
     check_candidates,
@@ -126,20 +125,7 @@
             self.results.pop(waiter, None)
             queue.leave(waiter)
         if view is None:
-            why = (
-                f'no slot became free in time; {len(queue.waiters)} requests'
-                f' are queued'
-            )
-            retry_after_s = queue.drain_s()
-            if not queue.is_limited:
-                draw = self.selector.source.random()
-                retry_after_s = spread_retry_s(retry_after_s, draw)
-            raise DispatchError(
-                why,
-                retry_after_s,
-                has_upstreams=True,
-                reason=RefusalReason.timeout,
-            )
+            raise make_timeout_error(queue, self.selector.source.random())
         return view
 
     def yields(self, queue: WaitQueue, waiter: Waiter, now: float) -> bool:
@@ -255,6 +241,7 @@
         for service, queue in self.queues.items():
             if not queue.waiters:
                 continue
+            refuse_expired(self, queue, now)
             self.update_limit(service, queue, now)
             is_counted = self.update_fleet(service, queue, now)
             self.serve_queue(queue, now)
@@ -373,6 +360,28 @@
     return None
 
 
+def limit_starts(dispatcher: Dispatcher, latest_start_at: float) -> None:
+    """Bound the latest start of the requests that wait now.
+
+    A request that continues a stream is not bounded.
+    """
+    for waiter in dispatcher.results:
+        if not waiter.is_resumed:
+            waiter.latest_start_at = min(
+                waiter.latest_start_at, latest_start_at
+            )
+
+
+def refuse_expired(
+    dispatcher: Dispatcher, queue: WaitQueue, now: float
+) -> None:
+    """Refuse the waiting requests whose latest start has passed."""
+    for waiter in list(queue.waiters):
+        if waiter.latest_start_at <= now:
+            draw = dispatcher.selector.source.random()
+            dispatcher.refuse(waiter, make_timeout_error(queue, draw))
+
+
 def ignore_change() -> None:
     """Do nothing; the default for ``Dispatcher.on_load_change``."""
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -8,6 +8,7 @@
 
 from comfreyarch_core.crashguard import PART, REQUEST
 from comfreyarch_core.crashmessages import Target
+from comfreyarch_core.drainadmission import PlannedExit
 from comfreyarch_core.refusals import Refusal
 from comfreyarch_core.retryshare import (
     EntryCount,
@@ -40,6 +41,9 @@
 ASSUMED_ENTRIES = 32
 DIGEST_BYTES = 12
 MISDIRECTED_STATUS = 421
+# Time after which callers should retry requests that are refused while the
+# entry has no configuration or is leaving.
+UNAVAILABLE_RETRY_AFTER_S = 0.05
 UNAVAILABLE_STATUS = 503
 # A connection within the fleet opens within a few milliseconds; one that
 # takes a second has lost a packet.
@@ -145,6 +149,7 @@
     :param started_at: start of the entry.
     :param on_leaving: called with the name of an upstream whose answer
         announces that it leaves.
+    :param planned_exit: set once the process is about to exit.
     :param on_misdirected: called with the name of an upstream at whose address
         another one answered.
     :param crash_guard: bars what crashes upstreams.
@@ -166,6 +171,7 @@
         'metrics',
         'on_leaving',
         'on_misdirected',
+        'planned_exit',
         'pool',
         'random_source',
         'retry_limits',
@@ -202,6 +208,7 @@
         self.entry_count = EntryCount(retry_limits.window_s)
         self.entry_count.record(ASSUMED_ENTRIES, self.started_at)
         self.on_leaving: Callable[[str], None] = ignore
+        self.planned_exit: PlannedExit | None = None
         self.on_misdirected: Callable[[str], None] = ignore
         self.random_source: random.Random = self.selector.source
         self.senders: set[Cancellable] = set()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/placementpage.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/placementpage.py
@@ -4,7 +4,6 @@
 from collections.abc import Mapping
 from typing import Any
 
-from comfreyarch_core.drainadmission import can_finish_before
 from comfreyarch_core.placementreport import (
     PlacementReport,
     copy_queue,
@@ -16,12 +15,13 @@
 from comfreyarch_core.waiter import Waiter
 from comfreyarch_core.waitqueue import make_wait_queue
 from comfreyarch_daemon.callreading import determine_urgency
-from comfreyarch_daemon.directentry import (
-    UNAVAILABLE_RETRY_AFTER_S,
-    DirectEntry,
+from comfreyarch_daemon.directentry import DirectEntry
+from comfreyarch_daemon.dispatcherrors import (
+    DispatchError,
+    bound_retry_s,
 )
-from comfreyarch_daemon.dispatcherrors import DispatchError, bound_retry_s
 from comfreyarch_daemon.dispatching import Dispatcher, place
+from comfreyarch_daemon.forwarding import UNAVAILABLE_RETRY_AFTER_S
 from comfreyarch_daemon.requestsender import find_starts
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -58,9 +58,9 @@
         route = find_route(table, query.get('target', ''))
         if route is None:
             return show_refusal(not_run(Kind.unknown_route))
-        ends_at = self.entry.ends_at
-        if ends_at is not None and not can_finish_before(
-            route, answer_tokens, now, ends_at
+        planned_exit = self.entry.forwarder.planned_exit
+        if planned_exit is not None and not planned_exit.accepts(
+            route, answer_tokens, now
         ):
             return show_refusal(
                 not_run(Kind.leaving, UNAVAILABLE_RETRY_AFTER_S)
@@ -71,12 +71,17 @@
         if route.public or not table.requires_keys:
             team = None
         deadline = now + min(route.timeout_s, deadline_s)
-        starts = find_starts(route, route.target_s, now, deadline)
+        target_at, latest_at = find_starts(route, route.target_s, now, deadline)
+        if planned_exit is not None:
+            latest_at = min(
+                latest_at, planned_exit.latest_start(route, answer_tokens, now)
+            )
         waiters = [
             Waiter(
                 share.service,
                 determine_urgency(route, team),
-                *starts,
+                target_at,
+                latest_at,
                 frozenset(),
                 table.min_passes(share.service, prompt_tokens, answer_tokens),
                 deadline,
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -22,9 +22,11 @@
 from comfreyarch_daemon.dispatcherrors import (
     MIN_RETRY_S,
     DispatchError,
+    RefusalReason,
     bound_retry_s,
 )
 from comfreyarch_daemon.forwarding import (
+    UNAVAILABLE_RETRY_AFTER_S,
     AnswerAborted,
     AnswerPart,
     AnswerStart,
@@ -60,6 +62,8 @@
 from comfreyarch_daemon.waitmetrics import count_refused, count_served
 
 OK_STATUS = 200
+# Reasons that a request which may wait for longer does not have.
+WAIT_REASONS = frozenset((RefusalReason.late_start, RefusalReason.timeout))
 MIN_ERROR_STATUS = 500
 # Multiple of the route's latency target after which a silent upstream is
 # abandoned for another one, if the request may be repeated.
@@ -303,11 +307,14 @@
             except BaseException:
                 self.forwarder.dispatcher.release(view)
                 raise
-            if may_send(self.forwarder.selector, view, waiter, boot_time()):
+            is_placed = may_send(
+                self.forwarder.selector, view, waiter, boot_time()
+            )
+            if is_placed and boot_time() < find_exit_start(self):
                 return view, connection
             # The permit ended, the upstream became cold, or the evacuation of
-            # its zone began, while the connection opened or the process did
-            # not run.
+            # its zone began, or the entry's exit came too close, while the
+            # connection opened or the process did not run.
             connection.close()
             self.forwarder.dispatcher.release(view)
 
@@ -322,10 +329,17 @@
         route = call.route
         since = self.progress_at
         target_s = route.gap_target_s if self.has_started else route.target_s
+        target_start_at, latest_start_at = find_starts(
+            route, target_s, since, call.deadline
+        )
+        exit_start_at = find_exit_start(self)
+        if boot_time() >= exit_start_at:
+            raise make_leaving_refusal(self)
         waiter = Waiter(
             call.service,
             call.urgency,
-            *find_starts(route, target_s, since, call.deadline),
+            target_start_at,
+            min(latest_start_at, exit_start_at),
             frozenset(self.tracker.tried),
             call.pass_count,
             call.deadline,
@@ -335,9 +349,16 @@
         try:
             view = self.forwarder.dispatcher.acquire_slot(waiter)
         except DispatchError as error:
-            count_refused(self.forwarder.metrics, waiter, error.reason)
+            is_exiting = (
+                error.reason in WAIT_REASONS
+                and waiter.latest_start_at < latest_start_at
+            )
+            reason = RefusalReason.leaving if is_exiting else error.reason
+            count_refused(self.forwarder.metrics, waiter, reason)
             if self.has_started:
                 raise AnswerAborted(str(error)) from error
+            if is_exiting:
+                raise make_leaving_refusal(self) from error
             kind = Kind.overloaded if error.has_upstreams else Kind.no_upstream
             raise self.make_refusal(
                 kind,
@@ -669,6 +690,31 @@
     sender.progress_at = now
 
 
+def find_exit_start(sender: RequestSender) -> float:
+    """Find until when a request may be sent, as the entry is about to exit.
+
+    :returns: a time; infinite if no exit is planned, and for a stream that has
+        started.
+    """
+    planned_exit = sender.forwarder.planned_exit
+    if planned_exit is None or sender.has_started:
+        return math.inf
+    call = sender.call
+    return planned_exit.latest_start(
+        call.route, call.head.answer_tokens, call.received_at
+    )
+
+
+def make_leaving_refusal(sender: RequestSender) -> ForwardingFailed:
+    """Build the refusal of a request that another entry should take.
+
+    :returns: the exception to raise.
+    """
+    return ForwardingFailed(
+        sender.tracker.refusal(Kind.leaving, UNAVAILABLE_RETRY_AFTER_S)
+    )
+
+
 def may_send(
     selector: UpstreamSelector, view: UpstreamView, waiter: Waiter, now: float
 ) -> bool:
--- a/tests/test_direct_entry.py
+++ b/tests/test_direct_entry.py
@@ -5,6 +5,7 @@
 from gevent import sleep, spawn, spawn_later
 from gevent.event import Event
 
+from comfreyarch_core.drainadmission import PlannedExit
 from comfreyarch_core.routetable import CallerLimits
 from comfreyarch_daemon.upstreamcalls import boot_time
 
@@ -276,7 +277,7 @@
         world.entry.leaving = True
         assert world.call('/safe/')[1]['connection'] == 'close'
         assert not world.entry.is_ready()
-        world.entry.ends_at = boot_time() + 1
+        world.entry.begin_exit(PlannedExit(boot_time() + 1))
         status, headers, _ = world.call('/safe/')
         assert status == 503
         assert float(headers['retry-after']) > 0
