Answer open requests before an entry of comfreyarchd exits

Half a second before the end of the drain the executor ends its attempts and makes no others, so that each caller gets a refusal (outcome unknown) or, in a stream, the error event. test_open_requests_are_answered_before_the_exit failed before in both its cases.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/attempts.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/attempts.py
@@ -40,7 +40,11 @@
     """Report in a mailbox that the caller's deadline has passed."""
 
 
-MailboxItem = frames.AnyFrame | LinkLost | DeadlinePassed
+class EntryExits:
+    """Report in a mailbox that the process is about to exit."""
+
+
+MailboxItem = frames.AnyFrame | LinkLost | DeadlinePassed | EntryExits
 
 
 @dataclass(slots=True)
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/entry.py
@@ -30,6 +30,8 @@
 # Interval at which the quota shares of active teams are renewed.
 QUOTA_RENEWAL_INTERVAL_S = 2.0
 DRAIN_POLL_INTERVAL_S = 0.05
+# Time before the end of a drain at which the open requests are ended.
+LAST_ANSWERS_S = 0.5
 
 
 class EntryRole:
@@ -95,14 +97,22 @@
         self.caller_server.close()
 
     def drain(self) -> None:
-        """Refuse new requests and wait up to ``drain_s`` for the open ones."""
+        """Refuse new requests and wait up to ``drain_s`` for the open ones.
+
+        Those that are still open shortly before are answered with an error.
+        """
         self.stopping = True
         self.mark_leaving(leaving=True)
-        drain_deadline = time.monotonic() + self.settings.drain_s
-        while (
-            self.caller_server.open_requests
-            and time.monotonic() < drain_deadline
-        ):
+        drain_s = self.settings.drain_s
+        drain_deadline = time.monotonic() + drain_s
+        last_answers_s = min(LAST_ANSWERS_S, drain_s / 2)
+        self.wait_for_requests(drain_deadline - last_answers_s)
+        self.executor.end_attempts()
+        self.wait_for_requests(drain_deadline)
+
+    def wait_for_requests(self, end: float) -> None:
+        """Wait until no request is open, or until a time."""
+        while self.caller_server.open_requests and time.monotonic() < end:
             gevent.sleep(DRAIN_POLL_INTERVAL_S)
 
     def mark_leaving(self, *, leaving: bool) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestexecutor.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestexecutor.py
@@ -15,6 +15,7 @@
     EVENT_END,
     AttemptEnd,
     DeadlinePassed,
+    EntryExits,
     LinkLost,
     Mailbox,
     Piece,
@@ -38,12 +39,17 @@
 
 
 class RequestExecutor:
-    """Execute the requests of one entry at its sidecars."""
+    """Execute the requests of one entry at its sidecars.
+
+    :param is_exiting: whether the process is about to exit; no further attempt
+        is made.
+    """
 
     __slots__ = (
         'attempt_numbers',
         'attempt_prefix',
         'budget',
+        'is_exiting',
         'mailboxes',
         'metrics',
         'node',
@@ -57,6 +63,7 @@
         self.metrics: Metrics = node.metrics
         self.budget = RetryBudget()
         self.mailboxes: dict[str, Mailbox] = {}
+        self.is_exiting = False
         self.attempt_numbers = itertools.count(1)
         self.attempt_prefix = (
             f'{node.identity.node}.{node.identity.incarnation}'
@@ -76,6 +83,12 @@
             if mailbox.link is link:
                 mailbox.queue.put(LinkLost())
 
+    def end_attempts(self) -> None:
+        """End all attempts, so that their callers get an answer before exit."""
+        self.is_exiting = True
+        for mailbox in self.mailboxes.values():
+            mailbox.queue.put(EntryExits())
+
     def answer(
         self,
         request: CallerRequest,
@@ -167,6 +180,8 @@
         :returns: whether to retry.
         """
         request = progress.request
+        if self.is_exiting:
+            return False
         if progress.head_sent and not request.resumable:
             return False
         return may_retry(
@@ -283,6 +298,8 @@
         frame = mailbox.queue.get()
         if isinstance(frame, DeadlinePassed):
             return answerassembly.Broken('deadline passed')
+        if isinstance(frame, EntryExits):
+            return answerassembly.Broken('entry exits')
         if isinstance(frame, LinkLost):
             return assembler.link_lost()
         return assembler.handle(frame, time.monotonic())
