Let a waiting request own its slot until it is released

Cause: a slot was assigned in the turn in which the wait timed out; 'except Timeout' did not look at the result, so the slot was never released. Errors between the choice of an upstream and the exchange, or at its end, lost slots as well.

Waiter.slot holds the upstream from the choice on, and release_slot gives it back once.

--- a/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/waiter.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from comfreyarch_core.fleetqueue import rank_of
+from comfreyarch_core.upstreamselection import UpstreamView
 
 
 @dataclass(eq=False, slots=True)
@@ -20,6 +21,8 @@
     :param is_resumed: whether the caller already has part of the answer; then
         the request is not refused before its latest start.
     :param was_queued: set when it joins a queue.
+    :param slot: the upstream at which the request has a slot; reset when it is
+        released.
     :param send_by: set with the slot; time by which to send.
     :param cold_send_by: the same, as far as the upstream is cold.
     """
@@ -34,6 +37,7 @@
     traits: tuple[str, ...] = ()
     is_resumed: bool = False
     was_queued: bool = False
+    slot: UpstreamView | None = None
     send_by: float = math.inf
     cold_send_by: float = math.inf
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/dispatching.py
@@ -90,6 +90,9 @@
     def acquire_slot(self, waiter: Waiter) -> UpstreamView:
         """Assign a slot to a request, at once or after a wait.
 
+        The request owns the slot. The caller ends with ``release_slot``,
+        whether this returns or fails.
+
         :returns: the upstream; the request counts as in flight there.
         :raises DispatchError: if the request cannot start in time.
         """
@@ -107,26 +110,22 @@
         result = AsyncResult()
         self.results[waiter] = result
         queue.join(waiter)
-        self.on_load_change()
-        self.request_queued(queue, boot_time())
         try:
-            view: UpstreamView | None = result.get(
-                timeout=max(0, waiter.latest_start_at - boot_time()),
-            )
-        except gevent.Timeout:
-            view = None
-        except (DispatchError, RequestBarred):
-            raise
+            self.on_load_change()
+            self.request_queued(queue, boot_time())
+            result.wait(timeout=max(0, waiter.latest_start_at - boot_time()))
         except BaseException:
-            if result.ready():
-                self.release(result.get())
+            release_slot(self, waiter)
             raise
         finally:
             self.results.pop(waiter, None)
             queue.leave(waiter)
-        if view is None:
-            raise make_timeout_error(queue, self.selector.source.random())
-        return view
+        if waiter.slot is not None:
+            # It may also have been assigned just as the time ran out.
+            return waiter.slot
+        if result.exception is not None:
+            raise result.exception
+        raise make_timeout_error(queue, self.selector.source.random())
 
     def yields(self, queue: WaitQueue, waiter: Waiter, now: float) -> bool:
         """Decide whether a request leaves the free slots to other entries.
@@ -184,6 +183,7 @@
         )
         view.claim.take()
         view.in_flight += 1
+        waiter.slot = view
         self.selector.circuit_breaker(waiter.service).sent(now)
         self.on_load_change()
         return view
@@ -255,7 +255,9 @@
         for waiter in queue.ordered(now):
             if not queue.is_reserved and self.yields(queue, waiter, now):
                 break
-            view = self.take_free_slot(waiter, now)
+            view = waiter.slot
+            if view is None:
+                view = self.take_free_slot(waiter, now)
             # Not even a request that may run at any upstream got a slot.
             if view is None and waiter.avoid == NO_UPSTREAMS:
                 break
@@ -360,6 +362,13 @@
     return None
 
 
+def release_slot(dispatcher: Dispatcher, waiter: Waiter) -> None:
+    """Release the slot of a request, if it has one."""
+    view, waiter.slot = waiter.slot, None
+    if view is not None:
+        dispatcher.release(view)
+
+
 def limit_starts(dispatcher: Dispatcher, latest_start_at: float) -> None:
     """Bound the latest start of the requests that wait now.
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -25,6 +25,7 @@
     RefusalReason,
     bound_retry_s,
 )
+from comfreyarch_daemon.dispatching import release_slot
 from comfreyarch_daemon.forwarding import (
     UNAVAILABLE_RETRY_AFTER_S,
     AnswerAborted,
@@ -154,6 +155,8 @@
     :param progress_at: time of the last event, of the request before the first.
     :param retries: accounts the retries of this request.
     :param crashes: reports to the crash guard.
+    :param waiter: the request as the dispatcher knows it, while it waits for a
+        slot or has one.
     """
 
     __slots__ = (
@@ -169,6 +172,7 @@
         'retries',
         'splitter',
         'tracker',
+        'waiter',
     )
 
     def __init__(self, forwarder: Forwarder, call: Call) -> None:
@@ -182,6 +186,7 @@
         )
         self.splitter = EventSplitter(last_id=call.head.last_event_id)
         self.exchange: Exchange | None = None
+        self.waiter: Waiter | None = None
         self.last_error: tuple[AnswerStart, bytes] | None = None
         self.has_started = False
         self.progress_at = call.received_at
@@ -196,12 +201,15 @@
         self.abort_exchange()
 
     def abort_exchange(self) -> None:
-        """Abort the exchange in progress, if any, and release its slot."""
+        """Abort the exchange in progress, if any, and release the slot."""
         exchange, self.exchange = self.exchange, None
-        if exchange is None:
-            return
-        exchange.connection.close()
-        self.forwarder.dispatcher.release(exchange.view)
+        waiter, self.waiter = self.waiter, None
+        try:
+            if exchange is not None:
+                exchange.connection.close()
+        finally:
+            if waiter is not None:
+                release_slot(self.forwarder.dispatcher, waiter)
 
     def finish(self, exchange: Exchange) -> None:
         """Release connection and slot after a complete answer."""
@@ -217,7 +225,7 @@
             self.call.pass_count,
         )
         self.forwarder.pool.put_back(exchange.upstream, exchange.connection)
-        self.forwarder.dispatcher.release(exchange.view)
+        self.abort_exchange()
 
     def cancel_barred(self, trait: str) -> None:
         """Cancel the send in progress if a newly barred trait may crash it."""
@@ -305,7 +313,7 @@
                 self.crashes.record_send()
                 connection = self.forwarder.connect(self.call, view)
             except BaseException:
-                self.forwarder.dispatcher.release(view)
+                self.abort_exchange()
                 raise
             is_placed = may_send(
                 self.forwarder.selector, view, waiter, boot_time()
@@ -316,7 +324,7 @@
             # its zone began, or the entry's exit came too close, while the
             # connection opened or the process did not run.
             connection.close()
-            self.forwarder.dispatcher.release(view)
+            self.abort_exchange()
 
     def acquire_slot(self) -> tuple[UpstreamView, Waiter]:
         """Acquire a slot at an upstream.
@@ -346,6 +354,8 @@
             call.part_traits(),
             is_resumed=self.has_started,
         )
+        # Set before, as the wait may end in any way.
+        self.waiter = waiter
         try:
             view = self.forwarder.dispatcher.acquire_slot(waiter)
         except DispatchError as error:
