Count a stated software version when two entries share an address

A row that only leaves out 'version' names no server to use, but could take the address of one over if it stated a later start. The new case of test_the_real_upstream_keeps_its_address failed before.

--- a/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
+++ b/packages/comfreyarch-core/src/comfreyarch_core/upstreamlist.py
@@ -39,6 +39,7 @@
         if unknown.
     :param sequence: number of its report, which starts anew with it; None if
         not stated.
+    :param software: version of its software, empty if not stated.
     """
 
     name: str
@@ -51,14 +52,20 @@
     listed: int = 0
     started_ms: int = 0
     sequence: int | None = None
+    software: str = ''
 
     def count_stated(self) -> int:
         """Return how many of the optional fields are stated.
 
-        :returns: 0 to 3.
+        :returns: 0 to 4.
         """
-        optional = (self.started_ms or None, self.sequence, self.cold_s)
-        return sum(1 for stated in optional if stated is not None)
+        is_stated = (
+            self.started_ms > 0,
+            self.sequence is not None,
+            self.cold_s is not None,
+            bool(self.software),
+        )
+        return sum(is_stated)
 
     def is_replaced_by(self, other: 'UpstreamEntry') -> bool:
         """Check whether another upstream has taken over the address.
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -26,7 +26,17 @@
 )
 
 REAL = UpstreamEntry(
-    'real', 's', '10.0.0.1:80', 'z', 6, False, 0, 5, started_ms=100, sequence=4
+    'real',
+    's',
+    '10.0.0.1:80',
+    'z',
+    6,
+    False,
+    cold_s=0,
+    listed=5,
+    started_ms=100,
+    sequence=4,
+    software='v1',
 )
 # Entries of another writer at the address of the real upstream.
 UNKNOWN_SERVICE = replace(
@@ -36,6 +46,7 @@
     replace(REAL, name='foreign', listed=9, started_ms=0),
     replace(REAL, name='foreign', listed=9, started_ms=200, sequence=None),
     replace(REAL, name='foreign', listed=9, started_ms=200, cold_s=None),
+    replace(REAL, name='foreign', listed=9, started_ms=200, software=''),
 ]
 LATER = replace(REAL, name='foreign', listed=9, started_ms=200)
 
@@ -114,7 +125,7 @@
     ]
     upstreams = make_list(*named)
     assert set(upstreams.entries) == {'real'}
-    assert len(upstreams.listed) == 5
+    assert len(upstreams.listed) == len(entries)
 
 
 ROW = (
