Answer sends without an answer before an entry exits

The sends that have brought nothing are ended 0.2 s before the exit; their callers get 504, which promises nothing, and the upstream does not count as failed. test_a_planned_stop_answers_what_an_upstream_does_not had no answer at the exit before.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -57,6 +57,8 @@
 ACCEPT_ALL_S = 2.8
 # Interval at which a draining entry checks for open requests.
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Time before the exit at which sends without an answer so far are ended.
+LAST_ANSWERS_S = 0.2
 # Safety margin before the platform forcibly ends the process.
 GRACE_MARGIN_S = 0.6
 
@@ -325,9 +327,15 @@
         self.entry.forwarder.limits.gossip.leave()
         self.log.write('stopping', open_requests=self.entry.open_requests)
         gevent.sleep(BALANCER_REMOVAL_S)
+        self.wait_for_requests(end - LAST_ANSWERS_S)
+        self.entry.forwarder.end_before_exit()
+        self.wait_for_requests(end)
+        self.close()
+
+    def wait_for_requests(self, end: float) -> None:
+        """Wait until no request is open, or until a time."""
         while self.entry.open_requests and boot_time() < end:
             gevent.sleep(DRAIN_CHECK_INTERVAL_S)
-        self.close()
 
 
 def run_entry(adapter: EntryAdapter, path: Path) -> None:
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/forwarding.py
@@ -141,6 +141,9 @@
     def cancel_barred(self, trait: str) -> None:
         """Cancel its send if a newly barred trait may crash the upstream."""
 
+    def end_before_exit(self) -> None:
+        """End its send if nothing was answered so far."""
+
 
 class Forwarder:
     """Hold the state that all requests of a direct entry share.
@@ -289,6 +292,11 @@
         for sender in list(self.senders):
             sender.cancel_barred(trait)
 
+    def end_before_exit(self) -> None:
+        """End the sends without an answer so far."""
+        for sender in list(self.senders):
+            sender.end_before_exit()
+
     def start(self) -> None:
         """Start to share the limits of upstreams with other entries."""
         self.limits.gossip.start()
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -149,6 +149,8 @@
     :param exchange: the send in progress, if any.
     :param last_error: start and body of the last error answer.
     :param has_started: whether part of the answer was yielded.
+    :param is_ended: whether the send in progress was ended before the exit of
+        the process.
     :param last_upstream: name of the upstream of the last send.
     :param final_error: error answer to forward because no further send
         follows.
@@ -166,6 +168,7 @@
         'final_error',
         'forwarder',
         'has_started',
+        'is_ended',
         'last_error',
         'last_upstream',
         'progress_at',
@@ -189,6 +192,7 @@
         self.waiter: Waiter | None = None
         self.last_error: tuple[AnswerStart, bytes] | None = None
         self.has_started = False
+        self.is_ended = False
         self.progress_at = call.received_at
         self.last_upstream = ''
         self.final_error: tuple[AnswerStart, bytes] | None = None
@@ -232,6 +236,15 @@
         if self.exchange is not None and self.crashes.cancel(trait):
             self.exchange.connection.interrupt()
 
+    def end_before_exit(self) -> None:
+        """End a send without an answer so far, as the process is about to exit.
+
+        Its caller gets a refusal instead of a closed connection.
+        """
+        if self.exchange is not None and not self.has_started:
+            self.is_ended = True
+            self.exchange.connection.interrupt()
+
     def run(self) -> Generator[AnswerPart, None, None]:
         """Send until an answer is forwarded completely or no send is left."""
         while True:
@@ -243,6 +256,12 @@
             except RequestBarred as error:
                 self.end_barred(error)
             except CallError as error:
+                if self.is_ended:
+                    # It says nothing about the upstream.
+                    self.tracker.record_failure(
+                        self.last_upstream, SendFailure.silent
+                    )
+                    raise make_leaving_refusal(self) from error
                 self.handle_failure(error)
             else:
                 return
@@ -625,16 +644,11 @@
                     self.forwarder.crash_guard.record_upstream_death(name)
             case SendFailure.broken:
                 selector.failed(name, now)
-                self.record_break()
+                if self.exchange is not None:
+                    self.crashes.record_break(self.exchange.view.entry)
             case _:
                 selector.failed(name, now)
 
-    def record_break(self) -> None:
-        """Report that the connection of the send in progress broke."""
-        exchange = self.exchange
-        if exchange is not None:
-            self.crashes.record_break(exchange.view.entry)
-
     def end_barred(self, error: RequestBarred) -> None:
         """End a request that must not be sent, or not again.
 
