Keep what is known of an upstream that is listed but unused

Its request limit and its cold state were forgotten while another entry had its address, and its crash was never recorded if it had been replaced before its entry was removed. The two new tests failed before.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -57,6 +57,8 @@
     :param open_requests: number of requests in flight.
     :param leaving: whether the entry is draining before it stops.
     :param idle_sockets: connections of callers without a request.
+    :param unused_upstreams: upstreams that were used before another one got
+        their address, and are still listed, by name.
     """
 
     __slots__ = (
@@ -72,6 +74,7 @@
         'server',
         'settings',
         'table',
+        'unused_upstreams',
     )
 
     def __init__(
@@ -103,6 +106,7 @@
         self.open_requests = 0
         self.leaving = False
         self.idle_sockets: set[Any] = set()
+        self.unused_upstreams: dict[str, UpstreamEntry] = {}
         self.server = WSGIServer(
             open_listener(settings.callers),
             self,
@@ -201,13 +205,21 @@
         upstreams = list(entries)
         names = {entry.name for entry in upstreams}
         selector = self.forwarder.selector
-        for name in selector.views.keys() - names - set(unused):
-            entry = selector.views[name].entry
-            if not selector.announcements.is_leaving(entry):
+        known = dict(self.unused_upstreams)
+        known.update(
+            (name, view.entry) for name, view in selector.views.items()
+        )
+        self.unused_upstreams = {
+            name: known[name] for name in unused if name in known
+        }
+        for name in known.keys() - names - set(unused):
+            if not selector.announcements.is_leaving(known[name]):
                 self.forwarder.crash_guard.record_upstream_death(name)
         selector.update_upstreams(upstreams)
-        self.forwarder.cold.update_upstreams(upstreams)
-        self.forwarder.limits.keep_listed(upstreams)
+        # What is known of an upstream holds if it is used again.
+        listed = [*upstreams, *self.unused_upstreams.values()]
+        self.forwarder.cold.update_upstreams(listed)
+        self.forwarder.limits.keep_listed(listed)
         self.dispatcher.serve_queues()
         self.forwarder.pool.keep_only(names)
 
--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -245,6 +245,38 @@
         assert world.call('/safe/x')[0] == 200
 
 
+def test_an_upstream_that_was_replaced_is_dead_once_it_is_not_listed():
+    """Fails if a crash is not seen when the address is soon in use again."""
+    with ListedWorld(1) as world:
+        deaths = []
+        address = world.upstreams[0].entry.address
+        with patch.object(
+            SharedCrashGuard,
+            'record_upstream_death',
+            lambda _guard, name: deaths.append(name),
+        ):
+            world.write('u9', encode(address, born=200))
+            assert not deaths
+            world.listener.apply_change(Change((), ('u0',)))
+            assert deaths == ['u0']
+            world.listener.apply_change(Change((), ()))
+        assert deaths == ['u0']
+
+
+def test_what_is_known_of_an_upstream_holds_if_it_is_used_again():
+    """Fails if its request limit is forgotten meanwhile (rule LIMIT)."""
+    with ListedWorld(1) as world:
+        head = world.entry.header_codec.read_answer([('Server-Limit', '2')])
+        limits = world.entry.forwarder.limits
+        limits.record_answer('u0', head, limits.version('u0'))
+        known = dict(limits.control.limits.states)
+        address = world.upstreams[0].entry.address
+        world.write('foreign', encode(address, born=10**13))
+        world.listener.apply_change(Change((), ('foreign',)))
+        assert dict(limits.control.limits.states) == known
+        assert 'u0' in known
+
+
 def test_the_address_of_an_upstream_that_started_again_elsewhere():
     with ListedWorld(2) as world:
         first, second = world.upstreams
