End idle connections at once when an entry exits

Cause: socket.close() of gevent waits for the file object from which a greenlet reads, so idle connections stayed open until the process was gone, and a request could be read and sent after the last check.

The connection is shut down, and requests that are read after the last check are refused. test_an_idle_connection_ends_with_the_entry failed before.

--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/callerconnection.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/callerconnection.py
@@ -184,3 +184,16 @@
             self.greenlet,
             CallerDisconnected('the caller closed the connection'),
         )
+
+
+def end_connection(sock: Any) -> None:
+    """End a connection at once, also while a greenlet reads from it.
+
+    ``close`` waits for the reader's file object, which may be until the process
+    exits.
+    """
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The caller has closed the connection.
+        return
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directentry.py
@@ -17,6 +17,7 @@
     HANDLER_KEY,
     CallerHandler,
     DisconnectWatcher,
+    end_connection,
 )
 from comfreyarch_daemon.callreading import (
     RefusedCall,
@@ -159,10 +160,10 @@
         self.server.start()
 
     def close(self) -> None:
-        """Stop accepting connections and close idle ones."""
+        """Stop accepting connections and end idle ones."""
         self.server.stop_accepting()
         for sock in list(self.idle_sockets):
-            sock.close()
+            end_connection(sock)
         self.forwarder.close()
         self.dispatcher.close()
 
--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -59,6 +59,8 @@
 DRAIN_CHECK_INTERVAL_S = 0.05
 # Time before the exit at which sends without an answer so far are ended.
 LAST_ANSWERS_S = 0.2
+# Time in which requests that have arrived by the end are read and refused.
+LAST_READ_S = 0.01
 # Safety margin before the platform forcibly ends the process.
 GRACE_MARGIN_S = 0.6
 
@@ -330,6 +332,9 @@
         self.wait_for_requests(end - LAST_ANSWERS_S)
         self.entry.forwarder.end_before_exit()
         self.wait_for_requests(end)
+        # From now on each request is refused.
+        self.entry.begin_exit(PlannedExit(boot_time()))
+        gevent.sleep(LAST_READ_S)
         self.close()
 
     def wait_for_requests(self, end: float) -> None:
--- a/tests/test_planned_exit.py
+++ b/tests/test_planned_exit.py
@@ -342,3 +342,30 @@
             if outcome[1] == 200
         ]
         assert served
+
+
+def test_an_idle_connection_ends_with_the_entry():
+    """Guards against a request that is read, or sent, after the last check."""
+    with World(answering()) as world:
+        sock = world.connect()
+        request = (
+            b'POST /safe/x HTTP/1.1\r\nHost: h.example\r\n'
+            b'Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n'
+        )
+        sock.sendall(request)
+        assert sock.recv(4096).startswith(b'HTTP/1.1 200')
+        with gevent.Timeout(10):
+            while not world.entry.idle_sockets:
+                gevent.sleep(0.01)
+        world.entry.close()
+        with gevent.Timeout(2):
+            assert sock.recv(1) == b''
+        assert world.runs == 1
+
+
+def test_a_request_that_arrives_as_the_entry_stops_is_refused(tmp_path):
+    with EntryFleet(1, answering(), path=tmp_path / 'settings') as fleet:
+        node = fleet.nodes['entry-0']
+        node.entry.begin_exit(PlannedExit(boot_time()))
+        assert fleet.call('entry-0')[0] == 503
+        assert not fleet.upstreams['u0'].seen
