--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/requestsender.py
@@ -229,6 +229,7 @@
             self.call.pass_count,
         )
         self.forwarder.pool.put_back(exchange.upstream, exchange.connection)
+        # Only the slot is left.
         self.abort_exchange()
 
     def cancel_barred(self, trait: str) -> None:
