--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/leases.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/leases.py
@@ -8,6 +8,7 @@
 from comfreyarch_core import lease
 from comfreyarch_core.lease import LeaseCandidate, LeaseRow
 from comfreyarch_daemon.store import (
+    Ambiguous,
     Put,
     StoreClient,
     StoreError,
@@ -15,6 +16,7 @@
     Unavailable,
     Written,
 )
+from comfreyarch_daemon.supervision import failure_reports
 
 LEASE_TABLE = 'leases'
 
@@ -112,7 +114,11 @@
             'beat': row.beat,
         }
         put = Put(LEASE_TABLE, self.group, write.expected, content)
-        outcome = self.store.transact([put])
+        try:
+            outcome = self.store.transact([put])
+        except Exception as error:
+            failure_reports.report('lease', error)
+            outcome = Ambiguous(str(error))
         self.request_pending = False
         if isinstance(outcome, Written):
             self.set_fence_floor(row.fence)
@@ -125,9 +131,10 @@
         try:
             row = self.store.read(LEASE_TABLE, self.group)
         except StoreError:
-            self.request_pending = False
             return
-        self.request_pending = False
+        finally:
+            # Without this no later tick would ask again.
+            self.request_pending = False
         lease_row = parse_lease_row(row)
         self.set_fence_floor(lease_row.fence)
         self.handle(lease.RowRead(lease_row))
