--- a/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
+++ b/packages/comfreyarch-daemon/src/comfreyarch_daemon/directnode.py
@@ -317,7 +317,14 @@
             gevent.spawn(self.drain)
 
     def drain(self) -> None:
-        """Complete the open requests, then stop.
+        """Complete the open requests, then stop, whatever fails before."""
+        try:
+            self.end_requests()
+        finally:
+            self.close()
+
+    def end_requests(self) -> None:
+        """Complete the open requests before the forced end.
 
         The balancer in front still routes to this entry for a while, so new
         requests are accepted; later only those that complete before the
@@ -335,7 +342,6 @@
         # From now on each request is refused.
         self.entry.begin_exit(PlannedExit(boot_time()))
         gevent.sleep(LAST_READ_S)
-        self.close()
 
     def wait_for_requests(self, end: float) -> None:
         """Wait until no request is open, or until a time."""
--- a/tests/test_planned_exit.py
+++ b/tests/test_planned_exit.py
@@ -369,3 +369,14 @@
         node.entry.begin_exit(PlannedExit(boot_time()))
         assert fleet.call('entry-0')[0] == 503
         assert not fleet.upstreams['u0'].seen
+
+
+def test_an_entry_ends_although_its_drain_fails(tmp_path, monkeypatch):
+    """Fails if an unexpected error leaves it running until it is killed."""
+    monkeypatch.setattr(directnode, 'BALANCER_REMOVAL_S', 0)
+    with EntryFleet(1, answering(), path=tmp_path / 'settings') as fleet:
+        node = fleet.nodes['entry-0']
+        # Not a set of requests.
+        node.entry.forwarder.senders = None
+        node.terminate()
+        assert node.stopped.wait(10)
