--- a/tests/test_foreign_rows.py
+++ b/tests/test_foreign_rows.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+from contextlib import contextmanager
 from dataclasses import replace
 from unittest.mock import patch
 
@@ -228,16 +229,23 @@
         assert world.call('/safe/x')[0] == 200
 
 
+@contextmanager
+def recorded_deaths():
+    """Record the upstreams that count as dead."""
+    deaths = []
+    with patch.object(
+        SharedCrashGuard,
+        'record_upstream_death',
+        lambda _guard, name: deaths.append(name),
+    ):
+        yield deaths
+
+
 def test_an_upstream_that_is_not_used_for_a_while_is_not_dead():
     """Fails if it counts as crashed, which may bar what it runs."""
     with ListedWorld(1) as world:
-        deaths = []
         address = world.upstreams[0].entry.address
-        with patch.object(
-            SharedCrashGuard,
-            'record_upstream_death',
-            lambda _guard, name: deaths.append(name),
-        ):
+        with recorded_deaths() as deaths:
             world.write('foreign', encode(address, born=10**13))
             assert world.call('/safe/x')[0] in {200, 503}
         assert not deaths
@@ -248,13 +256,8 @@
 def test_an_upstream_that_was_replaced_is_dead_once_it_is_not_listed():
     """Fails if a crash is not seen when the address is soon in use again."""
     with ListedWorld(1) as world:
-        deaths = []
         address = world.upstreams[0].entry.address
-        with patch.object(
-            SharedCrashGuard,
-            'record_upstream_death',
-            lambda _guard, name: deaths.append(name),
-        ):
+        with recorded_deaths() as deaths:
             world.write('u9', encode(address, born=200))
             assert not deaths
             world.listener.apply_change(Change((), ('u0',)))
