--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -123,6 +123,19 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy from which the store can be restored."""
+        return self.version, dict(self.rows)
+
+    async def restore(self, copy):
+        """Come back from an older copy: versions are given out again."""
+        self.version, rows = copy
+        self.rows = dict(rows)
+        self.history = [row for row in self.history if row['schemaVersion'] <= self.version]
+        self.era = (self.era or 0) + 1
+        async with self.changed:
+            self.changed.notify_all()
+
     def page(self, rows, **extra):
         return {'rows': rows, 'schemaVersion': self.version,
                 'currentTimeMs': int(time.monotonic() * 1000), **extra}
@@ -161,6 +174,9 @@
             after = int(query['afterRevision'])
             end = time.monotonic() + int(query.get('waitMs', 0)) / 1000
             while True:
+                if after > self.version:
+                    # The store was restored from an older copy.
+                    return 410, {}
                 rows = [row for row in self.history
                         if row['schemaVersion'] > after and row['table'] == query['table']]
                 left = end - time.monotonic()
