--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -13,7 +13,9 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
 
 ROOT = Path(__file__).resolve().parents[2]
 STORE_PORT = 8223
@@ -161,7 +163,6 @@
             writer.close()
 
     async def answer(self, target, body):
-        from urllib.parse import parse_qs, urlsplit
         url = urlsplit(target)
         query = {k: v[-1] for k, v in parse_qs(url.query, keep_blank_values=True).items()}
         if url.path == '/v1/rows-get':
@@ -424,11 +425,12 @@
     record = Record(Path(folder) / 'record.txt')
     trouble = os.environ.get('TROUBLE', '1') != '0'
     nodes = []
+    # Ends the processes that were started here also if this one is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as scratch:
         try:
             broken = asyncio.run(asyncio.wait_for(case(record, trouble, nodes, scratch), 110))
         except Exception as error:
-            import traceback
             traceback.print_exc()
             record.write('could not run', why=repr(error))
             code = 2
