--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """All entries are killed at once after a request was barred that crashes servers."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -98,4 +99,5 @@
     return check(record, in_touch) > 3
 
 
-main(case, HERE)
+# What was sent, answered and run goes to record.txt in this folder.
+main(case, HERE / 'record.txt', trouble=os.environ.get('TROUBLE', '1') != '0')
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -420,10 +420,9 @@
     return f'{random.getrandbits(64):016x}'
 
 
-def main(case, folder):
+def main(case, record_path, trouble):
     """Run a case: exit 1 if the rule was broken, 0 if it held, 2 if it could not run."""
-    record = Record(Path(folder) / 'record.txt')
-    trouble = os.environ.get('TROUBLE', '1') != '0'
+    record = Record(record_path)
     nodes = []
     # Ends the processes that were started here also if this one is told to end.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
